--- /dev/null
+++ b/umbermoor/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the simulator's wire and the decision module; it decides nothing."""
--- /dev/null
+++ b/umbermoor/benchlink/wire.py
@@ -0,0 +1,173 @@
+"""The simulator's wire: one JSON line a batch in, one JSON line a reply out."""
+
+from typing import Any, BinaryIO, Callable, TextIO
+
+import orjson
+
+from umbermoor.interface import (Charter, Control, Do, Ending, Entry, Group, Listing, News, Phase, Profile,
+                                 Readiness, Repeat)
+from umbermoor.rules import Front
+
+Row = list[Any]
+
+_REPEATS = {"repeatable": Repeat.RETRIABLE, "by_key": Repeat.FINGERPRINTED, "once": Repeat.BINDING}
+_HINTED, _REPEATED = 1, 2
+
+
+class Malformed(Exception):
+    """The batch is not of the wire's shape."""
+
+
+def micros(ms: float | None) -> int:
+    return round((ms or 0) * 1000)
+
+
+def _charter(seed: int, info: dict[str, Any]) -> Charter:
+    rules, limits, domain = (info.get(part) or {} for part in ("rules", "limits", "domain"))
+    profiles = tuple(
+        Profile(micros(row["aim_ms"]), micros(row["give_up_ms"]), row.get("late_worth") or 0.0,
+                _REPEATS[row["repeat"]], Group(row.get("group") or "all"), micros(row.get("window_ms")))
+        for row in info["request_classes"])
+    advised = limits.get("retry_after")
+    return Charter(
+        me=info.get("me") or 0, fronts=info.get("peers_total") or 1, seed=seed, zone=info.get("locality") or 0,
+        profiles=profiles, list_asked=info.get("membership_mode") == "on_request",
+        may_probe=bool(limits.get("probes")), may_tell=bool(limits.get("peers")),
+        may_copy=bool(limits.get("parallel_tries")), may_cancel=bool(limits.get("cancelling")),
+        most_hand_offs=limits.get("try_limit") or 1,
+        most_advice=micros(limits.get("max_retry_after_ms")) if advised else 0,
+        drain_grace=micros(rules.get("stop_sending_within_ms")), cold_from=rules.get("cold_from") or 1.0,
+        warm_within=micros(rules.get("warm_within_ms")), fall_multiple=rules.get("overload_factor") or 1.0,
+        fall_span=micros(rules.get("fall_ms")), control=Control(domain.get("gate_mode") or "any"),
+        votes_on=domain.get("to_advance") or 0, votes_back=domain.get("back_votes") or 0,
+        votes_hold=domain.get("to_pause") or 0, vote_life=micros(domain.get("vote_life_ms")),
+        vote_wait=micros(domain.get("vote_wait_ms")), least_stage=micros(domain.get("least_stage_ms")),
+        stage_caps=tuple(domain.get("stage_cap") or (0.0,)), guarded_stages=domain.get("guarded_stages") or 0,
+        cap_by_profile=domain.get("cap_scope") == "class", free_hand_offs=domain.get("spare_tries") or 0.0,
+        one_way=bool(domain.get("one_way")))
+
+
+def _entry(row: Row) -> Entry:
+    build, machine, zone, _kind, cell, readiness, size, born = (*row, *[None] * 8)[:8]
+    return Entry(machine, build, zone or 0, cell or 0, Readiness(readiness), size or 1.0, micros(born))
+
+
+def _query(row: Row) -> Row:
+    query, profile, _customer, key, due, cost, bits = row
+    hinted = cost is not None and (bits or 0) & _HINTED
+    return [query, profile, key, micros(due), micros(cost) if hinted else None, bool((bits or 0) & _REPEATED)]
+
+
+def _ended(row: Row) -> Row:
+    query, number, machine, ending, took, closed, _load = row
+    return [query, number, machine, Ending(ending), micros(took), bool(closed)]
+
+
+def _news(row: Row) -> Row:
+    build, stage, phase, asked, ending, cap, age = row
+    return [News(build or 0, stage or 0, Phase(phase or 0), cap or 0.0, micros(age), bool(asked), Ending(ending or 0))]
+
+
+# Each event on an instance: how many values follow its number, the call it becomes, and that call's values.
+EVENTS: dict[str, tuple[int, Callable[..., None], Callable[[Row], Row]]] = {
+    "call": (7, Front.take_query, _query),
+    "answer": (7, Front.hand_off_ended, _ended),
+    "ack_first": (4, Front.stream_started, lambda row: row[:2]),
+    "timed_out_client": (1, Front.client_left, lambda row: row),
+    "ship_state": (7, Front.release_news, _news),
+    "metrics": (6, Front.tally, lambda row: [row[2], row[0], row[1] or 0, row[4] or 0, micros(row[3])]),
+    "bad_answer": (3, Front.complaint, lambda row: [row[2], row[0], micros(row[1])]),
+    "echo": (4, Front.probe_ended, lambda row: [row[1], Ending(row[2]), row[3]]),
+    "neighbour_says": (2, Front.peer_told, lambda row: [row[0], bytes.fromhex(row[1])]),
+    "ring": (1, Front.woken, lambda row: []),
+}
+
+# Each decision: the message it becomes, for instance i.
+MESSAGES: dict[Do, Callable[..., Row]] = {
+    Do.HAND_OFF: lambda i, query, machine, limit: ["send", i, query, machine, limit / 1000],
+    Do.CANCEL: lambda i, query, number: ["abort_attempt", i, query, number],
+    Do.DENY: lambda i, query, wait: ["not_now", i, query, wait / 1000],
+    Do.ABANDON: lambda i, query: ["surrender", i, query],
+    Do.VOTE: lambda i, build, stage, verdict: ["vote", i, build, stage, int(verdict)],
+    Do.WATCH: lambda i: ["subscribe", i, True],
+    Do.PROBE: lambda i, machine: ["sound_out", i, machine],
+    Do.TELL: lambda i, payload: ["write_peer", i, "*", payload.hex()],
+    Do.WAKE: lambda i, moment: ["after", i, 0, moment / 1000],
+    Do.NOTE: lambda i, text: ["record", i, text],
+}
+
+
+class Link:
+    """The instances that this process hosts, and the lists of machines that the wire numbers for the process."""
+
+    def __init__(self) -> None:
+        self.fronts: dict[int, Front] = {}
+        self.rosters: dict[int, list[Entry]] = {}
+
+    def reply(self, line: bytes) -> bytes:
+        batch = orjson.loads(line)
+        if not isinstance(batch, dict) or not isinstance(batch.get("items"), list):
+            raise Malformed("not an object with an array 'items'")
+        if not isinstance(batch.get("n"), int) or not isinstance(batch.get("at_time_ms"), (int, float)):
+            raise Malformed("no whole number 'n' or no clock 'at_time_ms'")
+        now, commands, heard = micros(batch["at_time_ms"]), [], {}
+        for event in batch["items"]:
+            if not isinstance(event, list) or not event or not isinstance(event[0], str):
+                raise Malformed(f"an event is not an array that opens with its name: {event!r:.80}")
+            try:
+                number, call, values = self._read(event)
+            except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+                raise Malformed(f"{event[0]}: {type(error).__name__}: {error}") from error
+            if call is None:
+                heard.pop(number, None)
+                continue
+            heard[number] = None
+            try:
+                call(self.fronts[number], now, *values)
+            except Exception as error:
+                commands.append(fault(number, error))
+        for number in heard:
+            try:
+                while decision := self.fronts[number].decide(now):
+                    commands.append(MESSAGES[decision[0]](number, *decision[1:]))
+            except Exception as error:
+                commands.append(fault(number, error))
+        return orjson.dumps({"n": batch["n"], "cmds": commands})
+
+    def _read(self, event: Row) -> tuple[int | None, Callable[..., None] | None, Row]:
+        """The instance that the event is for, the call on it and the call's values; no call: nothing to pass on."""
+        name, *row = event
+        if name == "ledger":
+            self.rosters[row[0]] = [_entry(entry) for entry in row[1] or ()]
+        elif name == "attach":
+            self.fronts[row[0]] = Front(_charter(row[1] or 0, row[2]))
+            return row[0], Front.woken, []
+        elif name == "detach":
+            self.fronts.pop(row[0], None)
+            return row[0], None, []
+        elif name == "discovery" and row[0] in self.fronts:
+            number, _version, roster, kind = (*row, None, None)[:4]
+            entries = () if kind == Listing.FAILED else self.rosters[roster]
+            return number, Front.list_news, [Listing(kind), entries]
+        elif name in EVENTS and row[0] in self.fronts:
+            size, call, read = EVENTS[name]
+            return row[0], call, read((row[1:] + [None] * size)[:size])
+        return None, None, []
+
+
+def fault(number: int | None, error: Exception) -> Row:
+    return ["bail_out", number, f"{type(error).__name__}: {error}"]
+
+
+def serve(source: BinaryIO, sink: BinaryIO, complaints: TextIO) -> int:
+    """Answer batches until the input ends; 2 is the exit status for one that is malformed."""
+    link = Link()
+    for place, line in enumerate(source, 1):
+        try:
+            reply = link.reply(line)
+        except (Malformed, orjson.JSONDecodeError) as error:
+            complaints.write(f"benchlink: batch {place}: {error}\n")
+            return 2
+        sink.write(reply + b"\n")
+        sink.flush()
+    return 0
--- /dev/null
+++ b/umbermoor/rules.py
@@ -0,0 +1,491 @@
+"""Every decision of one front: which machine takes a query, what is given up on, and how to vote on a build.
+
+A host makes one Front a front from its Charter, reports what it sees through the calls (they only take note), then
+calls decide(now) until it answers None. The types and the calls stand in umbermoor/interface.py, the reasons in
+docs/design.md. Times are whole microseconds.
+"""
+
+import heapq
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from math import exp, log, sqrt
+from typing import Iterable, Sequence
+
+from umbermoor.interface import (NEVER_RAN, Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase,
+                                 Repeat, Verdict)
+
+SECOND = 1_000_000
+
+# The vote (Test & Roll).
+SIGMA = 0.05  # how far apart the true means of two builds are expected to lie
+MARGIN = 0.02  # the fixed part of the lead that the earlier build needs for a vote back
+HORIZON = 20 * SECOND  # the queries expected in this time are the paper's N
+FIRST_MEAN = 0.9  # the earlier build's mean until it has LEAST outcomes
+LEAST = 10  # outcomes below which nothing is judged by its mean
+PATIENT = 4 * SECOND  # a stage is judged this long after its newest machine was listed, short of n* or not
+FRESH = 3 * SECOND  # outcomes of machines listed more recently do not count
+SURE = 0.97  # a mean above this is taken for this, so that s never vanishes and no lone failure decides
+RENEW = 0.7  # a vote is cast again after this share of its life
+RETRY_VOTE = SECOND // 3  # after a vote that did not count
+
+# Machines.
+RECENT = 8 * SECOND  # what was seen of a machine loses its weight at this rate while nothing new is seen
+LEARN = 0.2  # weight of the newest outcome in a machine's averages
+DOUBT = 0.5  # silence counts against a machine from this phi on, tenfold for each 1 of phi
+FAILING = 8.0  # a machine that fails all seems this many times further away
+FAILING_ONCE = 30.0  # and so for a query that cannot be handed off again after a failure
+COLD_PART = 0.7  # part of the pressure allowed on a cold machine that this front uses of its own share
+COPIES = 0.05  # second copies sent, as a share of the queries taken
+COPY_AT = 3.0  # a copy goes out after this many times the time expected
+BEAT = SECOND // 5  # how often a front looks around when nothing else happens
+EARLY = 15_000  # a useless hand-off ends this long before the target time, so that the answer is in time
+
+
+@dataclass(slots=True)
+class Machine:
+    """All that this front knows of one machine."""
+
+    id: str
+    build: int
+    zone: int
+    cell: int
+    born: int
+    listed: int
+    ready: bool = True
+    pace: float = 0.0  # answer time over expected work; 0: none seen
+    seen: int = 0
+    fails: float = 0.0
+    gap: float = 0.0  # usual silence between answers while it holds work
+    silent_since: int | None = None
+    open: int = 0
+    load: float = 0.0  # expected work of the hand-offs it holds
+    room: float = 0.0  # work that it may be sent while cold
+    room_at: int = 0
+
+
+@dataclass(slots=True)
+class HandOff:
+    machine: Machine
+    sent: int
+    ending: Ending | None = None
+
+
+@dataclass(slots=True)
+class Query:
+    profile: int
+    key: str | None
+    came: int
+    due: int
+    cost: float
+    hand_offs: list[HandOff] = field(default_factory=list)
+    scored: set[int] = field(default_factory=set)
+    ended: bool = False
+    copy_at: int = 0
+
+
+@dataclass(slots=True)
+class Score:
+    """Outcomes of one build: how many, and how many were done within the target time."""
+
+    n: float = 0
+    good: float = 0
+
+    def add(self, good: bool) -> None:
+        self.n += 1
+        self.good += good
+
+    @property
+    def mean(self) -> float:
+        return self.good / self.n if self.n else 0.0
+
+
+class Front:
+    def __init__(self, charter: Charter) -> None:
+        self.charter = charter
+        self.random = random.Random(charter.seed).random
+        self.machines: dict[str, Machine] = {}
+        self.queries: dict[str, Query] = {}
+        self.todo: deque[str] = deque()
+        self.later: list[tuple[int, str]] = []
+        self.cancels: deque[tuple[str, int]] = deque()
+        self.usual = [row.target / 5 for row in charter.profiles]  # expected work where no hint comes
+        self.pace, self.gap = 1.0, SECOND / 2  # the fleet's
+        self.started: int | None = None
+        self.arrivals, self.arrivals_at = 0.0, 0
+        self.done_work, self.done_at = 0.0, 0
+        self.copies = 1.0
+        self.alarm = 0
+        self.watch_at: int | None = 0 if charter.list_asked else None
+        self.watch_failures = 0
+        self.news: News | None = None
+        self.credit: dict[int, float] = {}  # exposure: hand-offs to the trial that this front may still make
+        self.owed = 0.0  # hand-offs that the trial's share has coming
+        self.share = 0.0
+        self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
+        self.scores: dict[int, Score] = {}
+        self.stage_score = Score()
+        self.asked: tuple[int, int, Verdict] | None = None
+        self.asked_at = self.vote_after = self.stood_at = 0
+        self.standing: tuple[int, int, Verdict] | None = None
+
+    # What is reported: only noted.
+
+    def take_query(self, now: int, query: str, profile: int, key: str | None, due: int, cost: int | None,
+                   repeated: bool) -> None:
+        self.queries[query] = Query(profile, key, now, due, cost or self.usual[profile])
+        self.todo.append(query)
+        self.arrivals = self.arrivals * exp((self.arrivals_at - now) / (HORIZON / 2)) + 1
+        self.arrivals_at = now
+        scope = profile if self.charter.cap_by_profile else 0
+        self.credit[scope] = min(self.charter.free_hand_offs, self.credit.get(scope, 0.0) + self._cap())
+        self.owed = min(2.0, self.owed + self.share)
+        self.copies = min(5.0, self.copies + COPIES)
+
+    def hand_off_ended(self, now: int, query: str, number: int, machine: str, ending: Ending, took: int,
+                       closed: bool) -> None:
+        held = self.queries.get(query)
+        if held is None or number >= len(held.hand_offs) or held.hand_offs[number].ending is not None:
+            return
+        hand_off = held.hand_offs[number]
+        hand_off.ending = ending
+        self._learn(now, held, hand_off, ending, took)
+        self._score(held, hand_off, ending, took)
+        if closed and not held.ended:
+            self._end(query, held)
+        elif not held.ended:
+            self.todo.append(query)
+        self._forget(query, held)
+
+    def stream_started(self, now: int, query: str, number: int) -> None:
+        if held := self.queries.get(query):
+            held.due = 1 << 62
+
+    def client_left(self, now: int, query: str) -> None:
+        if held := self.queries.get(query):
+            self._end(query, held)
+            self._forget(query, held)
+
+    def list_news(self, now: int, kind: Listing, entries: Sequence[Entry]) -> None:
+        if kind is Listing.FAILED:
+            self.watch_failures += 1
+            wait = min(8, 2 ** self.watch_failures / 2) * SECOND
+            self.watch_at = now + round(wait * (0.5 + self.random()))
+            return
+        if kind is not Listing.CACHED:
+            self.watch_failures = 0
+        if kind is not Listing.CHANGES:
+            named = {entry.machine for entry in entries}
+            self.machines = {id: machine for id, machine in self.machines.items() if id in named}
+        for entry in entries:
+            known = self.machines.get(entry.machine)
+            if not entry.readiness:
+                self.machines.pop(entry.machine, None)
+            elif known and (known.build, known.born) == (entry.build, entry.born):
+                known.ready = entry.readiness == 1
+            else:
+                listed = entry.born if kind is Listing.CACHED else now
+                self.machines[entry.machine] = Machine(entry.machine, entry.build, entry.zone, entry.cell, entry.born,
+                                                       listed, entry.readiness == 1, room_at=now)
+        self._reckon_share()
+
+    def release_news(self, now: int, news: News) -> None:
+        if news.answers_vote:
+            if news.ending is Ending.OK:
+                self.standing, self.stood_at = self.asked, now
+            elif news.ending is not Ending.TIMEOUT:
+                self.vote_after = now + round(RETRY_VOTE * (1 + self.random()))
+            self.asked = None
+            if news.ending is not Ending.OK:
+                return
+        old = self.news
+        if old and _place(news) < _place(old):
+            if news.build == old.build:  # stale, but a cap once told binds
+                self.news = old._replace(cap=min(old.cap, news.cap))
+            return
+        if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
+            self.stage_score = Score()
+        if old is None or news.build != old.build or news.cap < old.cap:
+            self.credit.clear()
+            self.answered.clear()
+        self.news = news
+        self._reckon_share()
+
+    def tally(self, now: int, build: int, profile: int, counted: int, lost: int, age: int) -> None:
+        pass
+
+    def complaint(self, now: int, machine: str, profile: int, age: int) -> None:
+        pass
+
+    def probe_ended(self, now: int, machine: str, ending: Ending, load: Sequence[float] | None) -> None:
+        pass
+
+    def peer_told(self, now: int, peer: int, payload: bytes) -> None:
+        pass
+
+    def woken(self, now: int) -> None:
+        pass
+
+    def _learn(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
+        """Machine health: pace, failures and silence."""
+        machine = hand_off.machine
+        machine.open -= 1
+        machine.load = max(0.0, machine.load - held.cost) if machine.open else 0.0
+        pace = took / held.cost
+        if ending is Ending.OK or pace > max(machine.pace, self.pace):
+            machine.pace = self._paced(now, machine) * (1 - LEARN) + LEARN * pace
+            self.pace += (pace - self.pace) * LEARN / 10
+        if ending is Ending.OK:
+            self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
+            self.done_work = self.done_work * exp((self.done_at - now) / (3 * SECOND)) + held.cost
+            self.done_at = now
+        if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
+            if machine.silent_since is not None:
+                gap = now - machine.silent_since
+                machine.gap = gap if not machine.gap else machine.gap + (gap - machine.gap) * LEARN
+                self.gap += (gap - self.gap) * LEARN / 10
+            machine.silent_since = now if machine.open else None
+        if ending not in (Ending.CANCELLED, Ending.MOOT, Ending.TIMEOUT):
+            kept = machine.fails * exp((machine.seen - now) / RECENT)
+            machine.fails = kept + ((ending is not Ending.OK) - kept) * LEARN
+            machine.seen = now
+
+    def _score(self, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
+        machine, target = hand_off.machine, self.charter.profiles[held.profile].target
+        if (machine.build in held.scored or ending is Ending.MOOT or hand_off.sent - machine.listed < FRESH
+                or ending in (Ending.CANCELLED, Ending.TIMEOUT) and took < target - 2 * EARLY):
+            return
+        held.scored.add(machine.build)  # retries of one failure are no further evidence: one score a query and build
+        good = ending is Ending.OK and took <= target
+        self.scores.setdefault(machine.build, Score()).add(good)
+        if self.news and machine.build == self.news.build:
+            self.stage_score.add(good)
+        if good and held.key and self.charter.one_way and self._on_trial(machine.build):
+            self.answered.add(held.key)
+
+    def _end(self, query: str, held: Query) -> None:
+        held.ended = True
+        if self.charter.may_cancel:
+            self.cancels.extend((query, at) for at, sent in enumerate(held.hand_offs) if sent.ending is None)
+
+    def _forget(self, query: str, held: Query) -> None:
+        if held.ended and all(hand_off.ending is not None for hand_off in held.hand_offs):
+            self.queries.pop(query, None)
+
+    # What is decided, one at a time.
+
+    def decide(self, now: int) -> Decision | None:
+        if self.started is None:
+            self.started = now
+        if self.watch_at is not None and now >= self.watch_at:
+            self.watch_at = None
+            return (Do.WATCH,)
+        if self.cancels:
+            return (Do.CANCEL, *self.cancels.popleft())
+        while self.later and self.later[0][0] <= now:
+            self.todo.append(heapq.heappop(self.later)[1])
+        while self.todo:
+            query = self.todo.popleft()
+            held = self.queries.get(query)
+            if held and not held.ended and (decision := self._settle(now, query, held)):
+                return decision
+        if vote := self._vote(now):
+            return vote
+        wake = min(now + BEAT, self.later[0][0] if self.later else now + BEAT, self.watch_at or now + BEAT)
+        if self.alarm <= now or wake < self.alarm:
+            self.alarm = wake
+            return (Do.WAKE, wake)
+        return None
+
+    def _settle(self, now: int, query: str, held: Query) -> Decision | None:
+        """What becomes of a query now: a hand-off, a second copy, a final answer, or nothing yet."""
+        profile = self.charter.profiles[held.profile]
+        end = held.due if profile.late_value else min(held.due, held.came + profile.target - EARLY)
+        out = any(hand_off.ending is None for hand_off in held.hand_offs)
+        if out and (not held.copy_at or now < held.copy_at or self.copies < 1):
+            return None
+        machine = self._choose(now, held) if now < end else None
+        if machine:
+            if out:
+                self.copies -= 1
+            return self._send(now, query, held, machine, end)
+        return None if out else self._give_up(now, query, held)
+
+    def _give_up(self, now: int, query: str, held: Query) -> Decision:
+        """The final answer at once: a denial where a retry does no harm, else an abandonment."""
+        self._end(query, held)
+        self._forget(query, held)
+        profile = self.charter.profiles[held.profile]
+        harmless = (profile.repeat is Repeat.RETRIABLE or not _may_have_run(held)
+                    or profile.repeat is Repeat.FINGERPRINTED and profile.group is Group.ALL)
+        return (Do.DENY, query, self.charter.most_advice) if harmless else (Do.ABANDON, query)
+
+    def _send(self, now: int, query: str, held: Query, machine: Machine, end: int) -> Decision:
+        machine.open += 1
+        machine.load += held.cost
+        if machine.silent_since is None:
+            machine.silent_since = now
+        self._room(now, machine)
+        machine.room -= held.cost
+        if self._on_trial(machine.build):
+            self.credit[held.profile if self.charter.cap_by_profile else 0] -= 1
+        held.hand_offs.append(HandOff(machine, now))
+        held.copy_at = 0
+        if self.charter.may_copy and self.charter.profiles[held.profile].repeat is not Repeat.BINDING:
+            held.copy_at = now + round(COPY_AT * self.pace * held.cost)
+            if held.copy_at < end:
+                heapq.heappush(self.later, (held.copy_at, query))
+        return (Do.HAND_OFF, query, machine.id, end - now)
+
+    def _may(self, now: int, held: Query, machine: Machine) -> bool:
+        """The one gate of the rules: whether this query may be handed to this machine now."""
+        charter, profile, hand_offs = self.charter, self.charter.profiles[held.profile], held.hand_offs
+        if held.ended or now >= held.due or len(hand_offs) >= charter.most_hand_offs:
+            return False
+        if not machine.ready:  # drains: none of the grace is used
+            return False
+        if hand_offs:
+            if not charter.may_copy and hand_offs[-1].ending is None:
+                return False
+            ran = next((sent for sent in hand_offs if sent.ending not in NEVER_RAN), None)
+            if ran and profile.repeat is Repeat.BINDING:
+                return False
+            if ran and profile.repeat is Repeat.FINGERPRINTED and (
+                    now - ran.sent >= profile.window
+                    or profile.group is Group.ZONE and machine.zone != ran.machine.zone
+                    or profile.group is Group.CELL and machine.cell != ran.machine.cell):
+                return False
+        if self._on_trial(machine.build):
+            news = self.news
+            announced = news is not None and machine.build == news.build
+            if news and (announced and news.phase is not Phase.TRIAL or not announced and news.phase is Phase.TRIAL):
+                return False
+            stage = news.stage if announced else 0
+            if stage < charter.guarded_stages and profile.repeat is not Repeat.RETRIABLE:
+                return False
+            if self.credit.get(held.profile if charter.cap_by_profile else 0, 0.0) < 1:
+                return False
+        elif held.key in self.answered and machine.build < self.news.build:
+            return False
+        return not self._cold(now, machine) or self._room(now, machine) >= 0
+
+    def _choose(self, now: int, held: Query) -> Machine | None:
+        """The trial's turn goes by its machines' share; within a build the machine that seems nearest."""
+        steady, trial = [], []
+        for machine in self.machines.values():
+            if self._may(now, held, machine):
+                (trial if self._on_trial(machine.build) else steady).append(machine)
+        tried = {sent.machine.id for sent in held.hand_offs}
+        pool = steady or trial
+        if trial and not held.hand_offs and self.owed >= 1:
+            self.owed -= 1
+            pool = trial
+        pool = [machine for machine in pool if machine.id not in tried] or pool
+        return min(pool, key=lambda machine: self._distance(now, held, machine), default=None)
+
+    def _distance(self, now: int, held: Query, machine: Machine) -> float:
+        """The time this query may take there, longer the more unusual the machine's silence and failures are."""
+        time = self._paced(now, machine) * (held.cost + machine.load)
+        if machine.silent_since is not None:
+            phi = (now - machine.silent_since) / max(machine.gap, self.gap) / log(10)
+            time *= 10 ** min(6.0, max(0.0, phi - DOUBT))
+        fails = machine.fails * exp((machine.seen - now) / RECENT)
+        weight = FAILING if self.charter.profiles[held.profile].repeat is Repeat.RETRIABLE else FAILING_ONCE
+        if self._cold(now, machine):
+            time /= self._warmth(now, machine)
+        return time * (1 + weight * fails) * (1 + 0.1 * self.random())
+
+    def _paced(self, now: int, machine: Machine) -> float:
+        if not machine.pace:
+            return self.pace
+        return self.pace + (machine.pace - self.pace) * exp((machine.seen - now) / RECENT)
+
+    # Cold machines.
+
+    def _cold(self, now: int, machine: Machine) -> bool:
+        return machine.born > 0 and now - machine.born < self.charter.warm_within
+
+    def _warmth(self, now: int, machine: Machine) -> float:
+        grown = (now - machine.born) / max(1, self.charter.warm_within)
+        return self.charter.cold_from + (1 - self.charter.cold_from) * min(1.0, max(0.0, grown))
+
+    def _room(self, now: int, machine: Machine) -> float:
+        """Work that a cold machine may still be sent: a part of what the others do for this front."""
+        warm = sum(1 for other in self.machines.values() if other.ready and not self._cold(now, other))
+        done = self.done_work * exp((self.done_at - now) / (3 * SECOND)) / (3 * SECOND) / max(1, warm)
+        rate = done * COLD_PART * self.charter.fall_multiple * self._warmth(now, machine)
+        machine.room = min(machine.room + rate * (now - machine.room_at), rate * self.charter.fall_span / 2)
+        machine.room_at = now
+        return machine.room
+
+    # The release.
+
+    def _on_trial(self, build: int) -> bool:
+        if self.news is None:
+            return any(build > machine.build for machine in self.machines.values())
+        return build > self.news.build or build == self.news.build and self.news.phase is not Phase.RELEASED
+
+    def _cap(self) -> float:
+        return self.news.cap if self.news and self.news.phase is Phase.TRIAL else self.charter.stage_caps[0]
+
+    def _reckon_share(self) -> None:
+        ready = [machine for machine in self.machines.values() if machine.ready]
+        self.share = sum(self._on_trial(machine.build) for machine in ready) / max(1, len(ready))
+
+    def _vote(self, now: int) -> Decision | None:
+        news = self.news
+        if (news is None or news.phase not in (Phase.TRIAL, Phase.RELEASED) or now < self.vote_after
+                or self.asked and now < self.asked_at + self.charter.vote_wait):
+            return None
+        verdict = self._verdict(now, news)
+        if verdict is None:
+            return None
+        vote = (news.build, news.stage, verdict)
+        if vote == self.standing and now < self.stood_at + RENEW * self.charter.vote_life:
+            return None
+        self.asked, self.asked_at = vote, now
+        return (Do.VOTE, *vote)
+
+    def _verdict(self, now: int, news: News) -> Verdict | None:
+        """Test & Roll: judged at n*, or short of it once the stage has had its time."""
+        earlier = _total(score for build, score in self.scores.items() if build < news.build)
+        mean = earlier.mean if earlier.n >= LEAST else FIRST_MEAN
+        mu = min(mean, SURE)
+        s = sqrt(mu * (1 - mu))
+        spread = (s / SIGMA) ** 2
+        elapsed = 1 - exp((self.started - now - 1) / (HORIZON / 2))
+        expected = self.arrivals * exp((self.arrivals_at - now) / (HORIZON / 2)) / elapsed * 2
+        needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
+        total, stage = self.scores.get(news.build, Score()), self.stage_score
+        born = [machine.listed for machine in self.machines.values() if machine.build == news.build]
+        timed, clock = self.charter.control is Control.TIMER, now >= max(born, default=now) + PATIENT
+        ahead = None if timed or news.phase is Phase.RELEASED else Verdict.ON
+        if total.n >= needed:
+            judged = stage if stage.n >= needed else total
+        elif clock and stage.n >= LEAST:
+            judged = stage
+        elif clock:
+            return ahead if stage.mean >= mean or not stage.n else None
+        else:
+            return Verdict.HOLD if timed and stage.n and stage.mean < mean else None
+        b = SIGMA ** 2 / (SIGMA ** 2 + s * s / judged.n)
+        posterior = (1 - b) * mu + b * judged.mean
+        return Verdict.BACK if mu - posterior > MARGIN + 2 * s / sqrt(judged.n) else ahead
+
+
+def _place(news: News) -> tuple[int, int, int]:
+    """News is stale when it names an earlier place than is known."""
+    order = (Phase.TRIAL, Phase.RELEASED, Phase.GOING_BACK, Phase.WITHDRAWN)
+    return (news.build, order.index(news.phase), news.stage)
+
+
+def _may_have_run(held: Query) -> bool:
+    return any(hand_off.ending not in NEVER_RAN for hand_off in held.hand_offs)
+
+
+def _total(scores: Iterable[Score]) -> Score:
+    total = Score()
+    for score in scores:
+        total.n += score.n
+        total.good += score.good
+    return total
