--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -31,6 +31,8 @@
 
 # Machines.
 RECENT = 8 * SECOND  # what was seen of a machine loses its weight at this rate while nothing new is seen
+FLEET = 0.98  # what is seen of the whole fleet loses this with each outcome
+LEAN = 2.0  # a machine's pace leans on the fleet's as if that many usual queries had been seen
 LEARN = 0.2  # weight of the newest outcome in a machine's averages
 DOUBT = 0.5  # silence counts against a machine from this phi on, tenfold for each 1 of phi
 FAILING = 8.0  # a machine that fails all seems this many times further away
@@ -53,7 +55,9 @@
     born: int
     listed: int
     ready: bool = True
-    pace: float = 0.0  # answer time over expected work; 0: none seen
+    took: float = 0.0  # answer times, and the work expected of those answers, both losing weight with time
+    work: float = 0.0
+    paced_at: int = 0
     seen: int = 0
     fails: float = 0.0
     gap: float = 0.0  # usual silence between answers while it holds work
@@ -110,7 +114,8 @@
         self.later: list[tuple[int, str]] = []
         self.cancels: deque[tuple[str, int]] = deque()
         self.usual = [row.target / 5 for row in charter.profiles]  # expected work where no hint comes
-        self.pace, self.gap = 1.0, SECOND / 2  # the fleet's
+        self.took = self.work = 1.0 * SECOND  # the fleet's answer times and expected work
+        self.gap = SECOND / 2.0  # and its usual silence
         self.started: int | None = None
         self.arrivals, self.arrivals_at = 0.0, 0
         self.done_work, self.done_at = 0.0, 0
@@ -231,10 +236,11 @@
         machine = hand_off.machine
         machine.open -= 1
         machine.load = max(0.0, machine.load - held.cost) if machine.open else 0.0
-        pace = took / held.cost
-        if ending is Ending.OK or pace > max(machine.pace, self.pace):
-            machine.pace = self._paced(now, machine) * (1 - LEARN) + LEARN * pace
-            self.pace += (pace - self.pace) * LEARN / 10
+        if ending is Ending.OK or took > self._paced(now, machine) * held.cost:
+            fade = exp((machine.paced_at - now) / RECENT)
+            machine.took, machine.work = machine.took * fade + took, machine.work * fade + held.cost
+            machine.paced_at = now
+            self.took, self.work = self.took * FLEET + took, self.work * FLEET + held.cost
         if ending is Ending.OK:
             self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
             self.done_work = self.done_work * exp((self.done_at - now) / (3 * SECOND)) + held.cost
@@ -332,7 +338,7 @@
         held.hand_offs.append(HandOff(machine, now))
         held.copy_at = 0
         if self.charter.may_copy and self.charter.profiles[held.profile].repeat is not Repeat.BINDING:
-            held.copy_at = now + round(COPY_AT * self.pace * held.cost)
+            held.copy_at = now + round(COPY_AT * self.took / self.work * held.cost)
             if held.copy_at < end:
                 heapq.heappush(self.later, (held.copy_at, query))
         return (Do.HAND_OFF, query, machine.id, end - now)
@@ -396,9 +402,9 @@
         return time * (1 + weight * fails) * (1 + 0.1 * self.random())
 
     def _paced(self, now: int, machine: Machine) -> float:
-        if not machine.pace:
-            return self.pace
-        return self.pace + (machine.pace - self.pace) * exp((machine.seen - now) / RECENT)
+        """Answer time over expected work: the machine's own, leaning on the fleet's where little was seen of late."""
+        fade, lean = exp((machine.paced_at - now) / RECENT), LEAN * self.usual[0]
+        return (machine.took * fade + lean * self.took / self.work) / (machine.work * fade + lean)
 
     # Cold machines.
 
