--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -38,6 +38,7 @@
 FAILING = 8.0  # a machine that fails all seems this many times further away
 FAILING_ONCE = 30.0  # and so for a query that cannot be handed off again after a failure
 COLD_PART = 0.7  # part of the pressure allowed on a cold machine that this front uses of its own share
+CROWD = 1.0  # no hand-off where the waiting alone takes this part of the time left
 COPIES = 0.05  # second copies sent, as a share of the queries taken
 COPY_AT = 3.0  # a copy goes out after this many times the time expected
 BEAT = SECOND // 5  # how often a front looks around when nothing else happens
@@ -310,7 +311,7 @@
         out = any(hand_off.ending is None for hand_off in held.hand_offs)
         if out and (not held.copy_at or now < held.copy_at or self.copies < 1):
             return None
-        machine = self._choose(now, held) if now < end else None
+        machine = self._choose(now, held, end - now) if now < end else None
         if machine:
             if out:
                 self.copies -= 1
@@ -375,7 +376,7 @@
             return False
         return not self._cold(now, machine) or self._room(now, machine) >= 0
 
-    def _choose(self, now: int, held: Query) -> Machine | None:
+    def _choose(self, now: int, held: Query, left: int) -> Machine | None:
         """The trial's turn goes by its machines' share; within a build the machine that seems nearest."""
         steady, trial = [], []
         for machine in self.machines.values():
@@ -387,7 +388,12 @@
             self.owed -= 1
             pool = trial
         pool = [machine for machine in pool if machine.id not in tried] or pool
-        return min(pool, key=lambda machine: self._distance(now, held, machine), default=None)
+        nearest = min(pool, key=lambda machine: self._distance(now, held, machine), default=None)
+        # Threat: a jam that feeds itself, as late answers bring clients' retries. Also holds against bursts, slow or
+        # lost machines. May harm where pace is high for another cause than waiting.
+        if nearest and self._paced(now, nearest) * nearest.load > left * CROWD:
+            return None
+        return nearest
 
     def _distance(self, now: int, held: Query, machine: Machine) -> float:
         """The time this query may take there, longer the more unusual the machine's silence and failures are."""
