--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -251,7 +251,9 @@
                 gap = now - machine.silent_since
                 machine.gap = gap if not machine.gap else machine.gap + (gap - machine.gap) * LEARN
                 self.gap += (gap - self.gap) * LEARN / 10
-            machine.silent_since = now if machine.open else None
+            machine.silent_since = now
+        if not machine.open:  # an idle machine is not silent, whatever ended its last hand-off
+            machine.silent_since = None
         if ending not in (Ending.CANCELLED, Ending.MOOT, Ending.TIMEOUT):
             kept = machine.fails * exp((machine.seen - now) / RECENT)
             machine.fails = kept + ((ending is not Ending.OK) - kept) * LEARN
