--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -10,7 +10,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from math import exp, log, sqrt
-from typing import Iterable, Sequence
+from typing import Sequence
 
 from umbermoor.interface import (NEVER_RAN, Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase,
                                  Repeat, Verdict)
@@ -105,6 +105,14 @@
         return self.good / self.n if self.n else 0.0
 
 
+@dataclass(slots=True)
+class Contrast:
+    """Both sides over the same time. Threat: a general slowdown that looks like a bad build; also bursts."""
+
+    new: Score = field(default_factory=Score)
+    earlier: Score = field(default_factory=Score)
+
+
 class Front:
     def __init__(self, charter: Charter) -> None:
         self.charter = charter
@@ -129,8 +137,8 @@
         self.owed = 0.0  # hand-offs that the trial's share has coming
         self.share = 0.0
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
-        self.scores: dict[int, Score] = {}
-        self.stage_score = Score()
+        self.before = Score()  # all outcomes of earlier builds
+        self.trial, self.stage = Contrast(), Contrast()  # since the build was announced, since its stage began
         self.asked: tuple[int, int, Verdict] | None = None
         self.asked_at = self.vote_after = self.stood_at = 0
         self.standing: tuple[int, int, Verdict] | None = None
@@ -210,7 +218,11 @@
                 self.news = old._replace(cap=min(old.cap, news.cap))
             return
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
-            self.stage_score = Score()
+            self.stage = Contrast()
+        if old is None or news.build != old.build:
+            if old and old.phase is Phase.RELEASED:  # what was new is the earlier build now
+                self.before = self.trial.new
+            self.trial = Contrast()
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
             self.answered.clear()
@@ -266,9 +278,12 @@
             return
         held.scored.add(machine.build)  # retries of one failure are no further evidence: one score a query and build
         good = ending is Ending.OK and took <= target
-        self.scores.setdefault(machine.build, Score()).add(good)
-        if self.news and machine.build == self.news.build:
-            self.stage_score.add(good)
+        if self.news and machine.build >= self.news.build:
+            self.trial.new.add(good)
+            self.stage.new.add(good)
+        else:
+            for score in (self.before, self.trial.earlier, self.stage.earlier):
+                score.add(good)
         if good and held.key and self.charter.one_way and self._on_trial(machine.build):
             self.answered.add(held.key)
 
@@ -462,15 +477,15 @@
 
     def _verdict(self, now: int, news: News) -> Verdict | None:
         """Test & Roll: judged at n*, or short of it once the stage has had its time."""
-        earlier = _total(score for build, score in self.scores.items() if build < news.build)
-        mean = earlier.mean if earlier.n >= LEAST else FIRST_MEAN
+        pair = next((pair for pair in (self.stage, self.trial) if pair.earlier.n >= LEAST), None)
+        mean = pair.earlier.mean if pair else self.before.mean if self.before.n >= LEAST else FIRST_MEAN
         mu = min(mean, SURE)
         s = sqrt(mu * (1 - mu))
         spread = (s / SIGMA) ** 2
         elapsed = 1 - exp((self.started - now - 1) / (HORIZON / 2))
         expected = self.arrivals * exp((self.arrivals_at - now) / (HORIZON / 2)) / elapsed * 2
         needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
-        total, stage = self.scores.get(news.build, Score()), self.stage_score
+        total, stage = self.trial.new, self.stage.new
         born = [machine.listed for machine in self.machines.values() if machine.build == news.build]
         timed, clock = self.charter.control is Control.TIMER, now >= max(born, default=now) + PATIENT
         ahead = None if timed or news.phase is Phase.RELEASED else Verdict.ON
@@ -495,11 +510,3 @@
 
 def _may_have_run(held: Query) -> bool:
     return any(hand_off.ending not in NEVER_RAN for hand_off in held.hand_offs)
-
-
-def _total(scores: Iterable[Score]) -> Score:
-    total = Score()
-    for score in scores:
-        total.n += score.n
-        total.good += score.good
-    return total
