--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -91,18 +91,19 @@
 
 @dataclass(slots=True)
 class Score:
-    """Outcomes of one build: how many, and how many were done within the target time."""
+    """Outcomes of one side: how many, how many were done within the target time, how many did not fail."""
 
     n: float = 0
     good: float = 0
+    sound: float = 0
 
-    def add(self, good: bool) -> None:
+    def add(self, good: bool, sound: bool) -> None:
         self.n += 1
         self.good += good
+        self.sound += sound
 
-    @property
-    def mean(self) -> float:
-        return self.good / self.n if self.n else 0.0
+    def mean(self, released: bool = False) -> float:
+        return (self.sound if released else self.good) / self.n if self.n else 0.0
 
 
 @dataclass(slots=True)
@@ -277,13 +278,13 @@
                 or ending in (Ending.CANCELLED, Ending.TIMEOUT) and took < target - 2 * EARLY):
             return
         held.scored.add(machine.build)  # retries of one failure are no further evidence: one score a query and build
-        good = ending is Ending.OK and took <= target
+        good, sound = ending is Ending.OK and took <= target, ending is not Ending.ERROR
         if self.news and machine.build >= self.news.build:
-            self.trial.new.add(good)
-            self.stage.new.add(good)
+            self.trial.new.add(good, sound)
+            self.stage.new.add(good, sound)
         else:
             for score in (self.before, self.trial.earlier, self.stage.earlier):
-                score.add(good)
+                score.add(good, sound)
         if good and held.key and self.charter.one_way and self._on_trial(machine.build):
             self.answered.add(held.key)
 
@@ -478,7 +479,11 @@
     def _verdict(self, now: int, news: News) -> Verdict | None:
         """Test & Roll: judged at n*, or short of it once the stage has had its time."""
         pair = next((pair for pair in (self.stage, self.trial) if pair.earlier.n >= LEAST), None)
-        mean = pair.earlier.mean if pair else self.before.mean if self.before.n >= LEAST else FIRST_MEAN
+        # Threat: after a release there is no contrast, and a slowdown of everything, a burst or cold machines look like
+        # a bad build. From then on only failures count. Does not see a build that turns slow without failing.
+        released = news.phase is Phase.RELEASED
+        control = pair.earlier if pair else self.before
+        mean = control.mean(released) if control.n >= LEAST else FIRST_MEAN
         mu = min(mean, SURE)
         s = sqrt(mu * (1 - mu))
         spread = (s / SIGMA) ** 2
@@ -488,17 +493,17 @@
         total, stage = self.trial.new, self.stage.new
         born = [machine.listed for machine in self.machines.values() if machine.build == news.build]
         timed, clock = self.charter.control is Control.TIMER, now >= max(born, default=now) + PATIENT
-        ahead = None if timed or news.phase is Phase.RELEASED else Verdict.ON
+        ahead = None if timed or released else Verdict.ON
         if total.n >= needed:
             judged = stage if stage.n >= needed else total
         elif clock and stage.n >= LEAST:
             judged = stage
         elif clock:
-            return ahead if stage.mean >= mean or not stage.n else None
+            return ahead if stage.mean(released) >= mean or not stage.n else None
         else:
-            return Verdict.HOLD if timed and stage.n and stage.mean < mean else None
+            return Verdict.HOLD if timed and stage.n and stage.mean() < mean else None
         b = SIGMA ** 2 / (SIGMA ** 2 + s * s / judged.n)
-        posterior = (1 - b) * mu + b * judged.mean
+        posterior = (1 - b) * mu + b * judged.mean(released)
         return Verdict.BACK if mu - posterior > MARGIN + 2 * s / sqrt(judged.n) else ahead
 
 
