--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -234,7 +234,12 @@
         pass
 
     def complaint(self, now: int, machine: str, profile: int, age: int) -> None:
-        pass
+        """Threat: wrong answers look done. One that is told stands for those that are not; a false one does too."""
+        known = self.machines.get(machine)
+        if known and self.charter.complaint_share and now - age - known.listed >= FRESH:
+            for score in self._sides(known.build):
+                score.good = max(0.0, score.good - 1 / self.charter.complaint_share)
+                score.sound = max(0.0, score.sound - 1 / self.charter.complaint_share)
 
     def probe_ended(self, now: int, machine: str, ending: Ending, load: Sequence[float] | None) -> None:
         pass
@@ -278,16 +283,17 @@
                 or ending in (Ending.CANCELLED, Ending.TIMEOUT) and took < target - 2 * EARLY):
             return
         held.scored.add(machine.build)  # retries of one failure are no further evidence: one score a query and build
-        good, sound = ending is Ending.OK and took <= target, ending is not Ending.ERROR
-        if self.news and machine.build >= self.news.build:
-            self.trial.new.add(good, sound)
-            self.stage.new.add(good, sound)
-        else:
-            for score in (self.before, self.trial.earlier, self.stage.earlier):
-                score.add(good, sound)
+        good = ending is Ending.OK and took <= target
+        for score in self._sides(machine.build):
+            score.add(good, ending is not Ending.ERROR)
         if good and held.key and self.charter.one_way and self._on_trial(machine.build):
             self.answered.add(held.key)
 
+    def _sides(self, build: int) -> tuple[Score, ...]:
+        if self.news and build >= self.news.build:
+            return (self.trial.new, self.stage.new)
+        return (self.before, self.trial.earlier, self.stage.earlier)
+
     def _end(self, query: str, held: Query) -> None:
         held.ended = True
         if self.charter.may_cancel:
