--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -56,7 +56,7 @@
     born: int
     listed: int
     ready: bool = True
-    took: float = 0.0  # answer times, and the work expected of those answers, both losing weight with time
+    took: float = 0.0  # answer times, and the work that stood before those answers, both losing weight with time
     work: float = 0.0
     paced_at: int = 0
     seen: int = 0
@@ -73,6 +73,7 @@
 class HandOff:
     machine: Machine
     sent: int
+    ahead: float  # the query's own expected work and that which the machine held already
     ending: Ending | None = None
 
 
@@ -255,11 +256,11 @@
         machine = hand_off.machine
         machine.open -= 1
         machine.load = max(0.0, machine.load - held.cost) if machine.open else 0.0
-        if ending is Ending.OK or took > self._paced(now, machine) * held.cost:
+        if ending is Ending.OK or took > self._paced(now, machine) * hand_off.ahead:
             fade = exp((machine.paced_at - now) / RECENT)
-            machine.took, machine.work = machine.took * fade + took, machine.work * fade + held.cost
+            machine.took, machine.work = machine.took * fade + took, machine.work * fade + hand_off.ahead
             machine.paced_at = now
-            self.took, self.work = self.took * FLEET + took, self.work * FLEET + held.cost
+            self.took, self.work = self.took * FLEET + took, self.work * FLEET + hand_off.ahead
         if ending is Ending.OK:
             self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
             self.done_work = self.done_work * exp((self.done_at - now) / (3 * SECOND)) + held.cost
@@ -352,6 +353,7 @@
         return (Do.DENY, query, self.charter.most_advice) if harmless else (Do.ABANDON, query)
 
     def _send(self, now: int, query: str, held: Query, machine: Machine, end: int) -> Decision:
+        ahead = held.cost + machine.load
         machine.open += 1
         machine.load += held.cost
         if machine.silent_since is None:
@@ -360,10 +362,10 @@
         machine.room -= held.cost
         if self._on_trial(machine.build):
             self.credit[held.profile if self.charter.cap_by_profile else 0] -= 1
-        held.hand_offs.append(HandOff(machine, now))
+        held.hand_offs.append(HandOff(machine, now, ahead))
         held.copy_at = 0
         if self.charter.may_copy and self.charter.profiles[held.profile].repeat is not Repeat.BINDING:
-            held.copy_at = now + round(COPY_AT * self.took / self.work * held.cost)
+            held.copy_at = now + round(COPY_AT * self.took / self.work * ahead)
             if held.copy_at < end:
                 heapq.heappush(self.later, (held.copy_at, query))
         return (Do.HAND_OFF, query, machine.id, end - now)
@@ -432,7 +434,7 @@
         return time * (1 + weight * fails) * (1 + 0.1 * self.random())
 
     def _paced(self, now: int, machine: Machine) -> float:
-        """Answer time over expected work: the machine's own, leaning on the fleet's where little was seen of late."""
+        """Answer time over the work ahead: the machine's own, leaning on the fleet's where little was seen of late."""
         fade, lean = exp((machine.paced_at - now) / RECENT), LEAN * self.usual[0]
         return (machine.took * fade + lean * self.took / self.work) / (machine.work * fade + lean)
 
