--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from math import exp, log, sqrt
 from typing import Sequence
+from zlib import crc32
 
 from umbermoor.interface import (NEVER_RAN, Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase,
                                  Repeat, Verdict)
@@ -29,6 +30,13 @@
 RENEW = 0.7  # a vote is cast again after this share of its life
 RETRY_VOTE = SECOND // 3  # after a vote that did not count
 
+# Peers.
+TALE = b"\x01"  # version of the messages
+GRAIN = 10_000.0  # work that one step in a message stands for
+TELL_EVERY = 20_000  # messages are at least this far apart
+TELL_MOST = 80  # machines a message names
+TRUST = SECOND // 2  # a peer not heard for this long says nothing
+
 # Machines.
 RECENT = 8 * SECOND  # what was seen of a machine loses its weight at this rate while nothing new is seen
 FLEET = 0.98  # what is seen of the whole fleet loses this with each outcome
@@ -55,6 +63,7 @@
     cell: int
     born: int
     listed: int
+    tag: bytes  # its name among peers
     ready: bool = True
     took: float = 0.0  # answer times, and the work that stood before those answers, both losing weight with time
     work: float = 0.0
@@ -65,6 +74,7 @@
     silent_since: int | None = None
     open: int = 0
     load: float = 0.0  # expected work of the hand-offs it holds
+    others: dict[int, float] = field(default_factory=dict)  # and of those that each peer says it has there
     room: float = 0.0  # work that it may be sent while cold
     room_at: int = 0
 
@@ -138,6 +148,8 @@
         self.credit: dict[int, float] = {}  # exposure: hand-offs to the trial that this front may still make
         self.owed = 0.0  # hand-offs that the trial's share has coming
         self.share = 0.0
+        self.peers: dict[int, int] = {}  # when each was last heard
+        self.told, self.told_at = b"", 0
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
         self.before = Score()  # all outcomes of earlier builds
         self.trial, self.stage = Contrast(), Contrast()  # since the build was announced, since its stage began
@@ -202,7 +214,8 @@
             else:
                 listed = entry.born if kind is Listing.CACHED else now
                 self.machines[entry.machine] = Machine(entry.machine, entry.build, entry.zone, entry.cell, entry.born,
-                                                       listed, entry.readiness == 1, room_at=now)
+                                                       listed, _tag(entry.machine), entry.readiness == 1,
+                                                       room_at=now)
         self._reckon_share()
 
     def release_news(self, now: int, news: News) -> None:
@@ -246,7 +259,13 @@
         pass
 
     def peer_told(self, now: int, peer: int, payload: bytes) -> None:
-        pass
+        """A peer's open work by machine. What is garbled or of another version says nothing."""
+        if payload[:1] != TALE or len(payload) % 3 != 1:
+            return
+        told = {payload[at:at + 2]: payload[at + 2] * GRAIN for at in range(1, len(payload), 3)}
+        self.peers[peer] = now
+        for machine in self.machines.values():
+            machine.others[peer] = told.get(machine.tag, 0.0)
 
     def woken(self, now: int) -> None:
         pass
@@ -323,6 +342,13 @@
                 return decision
         if vote := self._vote(now):
             return vote
+        if self.charter.may_tell and self.charter.fronts > 1 and now >= self.told_at + TELL_EVERY:
+            busy = [machine for machine in self.machines.values() if machine.open]
+            payload = TALE + b"".join(machine.tag + bytes([min(255, round(machine.load / GRAIN))])
+                                      for machine in sorted(busy, key=_load, reverse=True)[:TELL_MOST])
+            if payload != self.told or now >= self.told_at + TRUST / 2:
+                self.told, self.told_at = payload, now
+                return (Do.TELL, payload)
         wake = min(now + BEAT, self.later[0][0] if self.later else now + BEAT, self.watch_at or now + BEAT)
         if self.alarm <= now or wake < self.alarm:
             self.alarm = wake
@@ -353,7 +379,7 @@
         return (Do.DENY, query, self.charter.most_advice) if harmless else (Do.ABANDON, query)
 
     def _send(self, now: int, query: str, held: Query, machine: Machine, end: int) -> Decision:
-        ahead = held.cost + machine.load
+        ahead = held.cost + self._load(now, machine)
         machine.open += 1
         machine.load += held.cost
         if machine.silent_since is None:
@@ -417,13 +443,13 @@
         nearest = min(pool, key=lambda machine: self._distance(now, held, machine), default=None)
         # Threat: a jam that feeds itself, as late answers bring clients' retries. Also holds against bursts, slow or
         # lost machines. May harm where pace is high for another cause than waiting.
-        if nearest and self._paced(now, nearest) * nearest.load > left * CROWD:
+        if nearest and self._paced(now, nearest) * self._load(now, nearest) > left * CROWD:
             return None
         return nearest
 
     def _distance(self, now: int, held: Query, machine: Machine) -> float:
         """The time this query may take there, longer the more unusual the machine's silence and failures are."""
-        time = self._paced(now, machine) * (held.cost + machine.load)
+        time = self._paced(now, machine) * (held.cost + self._load(now, machine))
         if machine.silent_since is not None:
             phi = (now - machine.silent_since) / max(machine.gap, self.gap) / log(10)
             time *= 10 ** min(6.0, max(0.0, phi - DOUBT))
@@ -433,6 +459,10 @@
             time /= self._warmth(now, machine)
         return time * (1 + weight * fails) * (1 + 0.1 * self.random())
 
+    def _load(self, now: int, machine: Machine) -> float:
+        """Open work there: this front's and what peers told of late. Threat: each front sees only its own part."""
+        return machine.load + sum(load for peer, load in machine.others.items() if now < self.peers[peer] + TRUST)
+
     def _paced(self, now: int, machine: Machine) -> float:
         """Answer time over the work ahead: the machine's own, leaning on the fleet's where little was seen of late."""
         fade, lean = exp((machine.paced_at - now) / RECENT), LEAN * self.usual[0]
@@ -521,5 +551,13 @@
     return (news.build, order.index(news.phase), news.stage)
 
 
+def _tag(machine: str) -> bytes:
+    return crc32(machine.encode()).to_bytes(4, "big")[:2]
+
+
+def _load(machine: Machine) -> float:
+    return machine.load
+
+
 def _may_have_run(held: Query) -> bool:
     return any(hand_off.ending not in NEVER_RAN for hand_off in held.hand_offs)
