--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -140,6 +140,7 @@
         self.started: int | None = None
         self.arrivals, self.arrivals_at = 0.0, 0
         self.done_work, self.done_at = 0.0, 0
+        self.carried = 0.0  # the most work, over time, that one warm machine did for this front
         self.copies = 1.0
         self.alarm = 0
         self.watch_at: int | None = 0 if charter.list_asked else None
@@ -478,10 +479,11 @@
         return self.charter.cold_from + (1 - self.charter.cold_from) * min(1.0, max(0.0, grown))
 
     def _room(self, now: int, machine: Machine) -> float:
-        """Work that a cold machine may still be sent: a part of what the others do for this front."""
+        """Work that a cold machine may still be sent: a part of the most that others were seen to do for this front."""
         warm = sum(1 for other in self.machines.values() if other.ready and not self._cold(now, other))
         done = self.done_work * exp((self.done_at - now) / (3 * SECOND)) / (3 * SECOND) / max(1, warm)
-        rate = done * COLD_PART * self.charter.fall_multiple * self._warmth(now, machine)
+        self.carried = max(self.carried, done)
+        rate = self.carried * COLD_PART * self.charter.fall_multiple * self._warmth(now, machine)
         machine.room = min(machine.room + rate * (now - machine.room_at), rate * self.charter.fall_span / 2)
         machine.room_at = now
         return machine.room
