--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -27,6 +27,7 @@
 PATIENT = 4 * SECOND  # a stage is judged this long after its newest machine was listed, short of n* or not
 FRESH = 3 * SECOND  # outcomes of machines listed more recently do not count
 SURE = 0.97  # a mean above this is taken for this, so that s never vanishes and no lone failure decides
+LINGER = 8 * SECOND  # lateness after a release tells against the build when it lasts this long
 RENEW = 0.7  # a vote is cast again after this share of its life
 RETRY_VOTE = SECOND // 3  # after a vote that did not count
 
@@ -61,10 +62,11 @@
     build: int
     zone: int
     cell: int
+    ready: bool
     born: int
     listed: int
     tag: bytes  # its name among peers
-    ready: bool = True
+    room_at: int
     took: float = 0.0  # answer times, and the work that stood before those answers, both losing weight with time
     work: float = 0.0
     paced_at: int = 0
@@ -76,7 +78,6 @@
     load: float = 0.0  # expected work of the hand-offs it holds
     others: dict[int, float] = field(default_factory=dict)  # and of those that each peer says it has there
     room: float = 0.0  # work that it may be sent while cold
-    room_at: int = 0
 
 
 @dataclass(slots=True)
@@ -113,6 +114,9 @@
         self.good += good
         self.sound += sound
 
+    def __str__(self) -> str:
+        return f"{self.good:.0f} in time, {self.sound:.0f} sound of {self.n:.0f}"
+
     def mean(self, released: bool = False) -> float:
         return (self.sound if released else self.good) / self.n if self.n else 0.0
 
@@ -124,6 +128,9 @@
     new: Score = field(default_factory=Score)
     earlier: Score = field(default_factory=Score)
 
+    def __str__(self) -> str:
+        return f"new {self.new}, earlier {self.earlier}"
+
 
 class Front:
     def __init__(self, charter: Charter) -> None:
@@ -152,11 +159,15 @@
         self.peers: dict[int, int] = {}  # when each was last heard
         self.told, self.told_at = b"", 0
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
-        self.before = Score()  # all outcomes of earlier builds
+        self.before = Score()  # outcomes of the earlier build while none was on trial
         self.trial, self.stage = Contrast(), Contrast()  # since the build was announced, since its stage began
+        self.slump = Score()  # the latest outcomes after the release
+        self.slump_since: int | None = None  # since when all such outcomes trailed
         self.asked: tuple[int, int, Verdict] | None = None
         self.asked_at = self.vote_after = self.stood_at = 0
         self.standing: tuple[int, int, Verdict] | None = None
+        self.noted: tuple[int, int, Verdict] | None = None
+        self.note = ""
 
     # What is reported: only noted.
 
@@ -179,12 +190,11 @@
         hand_off = held.hand_offs[number]
         hand_off.ending = ending
         self._learn(now, held, hand_off, ending, took)
-        self._score(held, hand_off, ending, took)
-        if closed and not held.ended:
+        self._score(now, held, hand_off, ending, took)
+        if closed or held.ended:
             self._end(query, held)
-        elif not held.ended:
+        else:
             self.todo.append(query)
-        self._forget(query, held)
 
     def stream_started(self, now: int, query: str, number: int) -> None:
         if held := self.queries.get(query):
@@ -193,7 +203,6 @@
     def client_left(self, now: int, query: str) -> None:
         if held := self.queries.get(query):
             self._end(query, held)
-            self._forget(query, held)
 
     def list_news(self, now: int, kind: Listing, entries: Sequence[Entry]) -> None:
         if kind is Listing.FAILED:
@@ -214,9 +223,8 @@
                 known.ready = entry.readiness == 1
             else:
                 listed = entry.born if kind is Listing.CACHED else now
-                self.machines[entry.machine] = Machine(entry.machine, entry.build, entry.zone, entry.cell, entry.born,
-                                                       listed, _tag(entry.machine), entry.readiness == 1,
-                                                       room_at=now)
+                tag = crc32(entry.machine.encode()).to_bytes(4)[:2]
+                self.machines[entry.machine] = Machine(*entry[:4], entry.readiness == 1, entry.born, listed, tag, now)
         self._reckon_share()
 
     def release_news(self, now: int, news: News) -> None:
@@ -233,12 +241,12 @@
             if news.build == old.build:  # stale, but a cap once told binds
                 self.news = old._replace(cap=min(old.cap, news.cap))
             return
-        if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
-            self.stage = Contrast()
         if old is None or news.build != old.build:
             if old and old.phase is Phase.RELEASED:  # what was new is the earlier build now
-                self.before = self.trial.new
+                self.before = self.stage.new
             self.trial = Contrast()
+        if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
+            self.stage, self.slump, self.slump_since = Contrast(), Score(), None
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
             self.answered.clear()
@@ -246,7 +254,7 @@
         self._reckon_share()
 
     def tally(self, now: int, build: int, profile: int, counted: int, lost: int, age: int) -> None:
-        pass
+        """Not used: a front's own outcomes are as many, and sooner."""
 
     def complaint(self, now: int, machine: str, profile: int, age: int) -> None:
         """Threat: wrong answers look done. One that is told stands for those that are not; a false one does too."""
@@ -257,7 +265,7 @@
                 score.sound = max(0.0, score.sound - 1 / self.charter.complaint_share)
 
     def probe_ended(self, now: int, machine: str, ending: Ending, load: Sequence[float] | None) -> None:
-        pass
+        """Not used: probes have not paid their price."""
 
     def peer_told(self, now: int, peer: int, payload: bytes) -> None:
         """A peer's open work by machine. What is garbled or of another version says nothing."""
@@ -269,7 +277,7 @@
             machine.others[peer] = told.get(machine.tag, 0.0)
 
     def woken(self, now: int) -> None:
-        pass
+        """Nothing to note: to be asked for decisions is all."""
 
     def _learn(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
         """Machine health: pace, failures and silence."""
@@ -298,7 +306,7 @@
             machine.fails = kept + ((ending is not Ending.OK) - kept) * LEARN
             machine.seen = now
 
-    def _score(self, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
+    def _score(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
         machine, target = hand_off.machine, self.charter.profiles[held.profile].target
         if (machine.build in held.scored or ending is Ending.MOOT or hand_off.sent - machine.listed < FRESH
                 or ending in (Ending.CANCELLED, Ending.TIMEOUT) and took < target - 2 * EARLY):
@@ -307,21 +315,27 @@
         good = ending is Ending.OK and took <= target
         for score in self._sides(machine.build):
             score.add(good, ending is not Ending.ERROR)
+        if self.news and self.news.phase is Phase.RELEASED and machine.build == self.news.build:
+            self.slump.add(good, True)
+            if self.slump.n >= 2 * LEAST:
+                trails = self._trails(self.slump.mean(), self.slump.n, self.before.mean() if self.before.n else 0.0)
+                self.slump, self.slump_since = Score(), (self.slump_since or now) if trails else None
         if good and held.key and self.charter.one_way and self._on_trial(machine.build):
             self.answered.add(held.key)
 
     def _sides(self, build: int) -> tuple[Score, ...]:
         if self.news and build >= self.news.build:
             return (self.trial.new, self.stage.new)
-        return (self.before, self.trial.earlier, self.stage.earlier)
+        alone = self.news is None or self.news.phase is not Phase.TRIAL
+        return (self.trial.earlier, self.stage.earlier, *[self.before] * alone)
 
     def _end(self, query: str, held: Query) -> None:
+        """Calls off what is still out, once, and forgets the query when nothing is."""
+        out = [number for number, hand_off in enumerate(held.hand_offs) if hand_off.ending is None]
+        if not held.ended and self.charter.may_cancel:
+            self.cancels.extend((query, number) for number in out)
         held.ended = True
-        if self.charter.may_cancel:
-            self.cancels.extend((query, at) for at, sent in enumerate(held.hand_offs) if sent.ending is None)
-
-    def _forget(self, query: str, held: Query) -> None:
-        if held.ended and all(hand_off.ending is not None for hand_off in held.hand_offs):
+        if not out:
             self.queries.pop(query, None)
 
     # What is decided, one at a time.
@@ -334,6 +348,9 @@
             return (Do.WATCH,)
         if self.cancels:
             return (Do.CANCEL, *self.cancels.popleft())
+        if self.note:
+            text, self.note = self.note, ""
+            return (Do.NOTE, text)
         while self.later and self.later[0][0] <= now:
             self.todo.append(heapq.heappop(self.later)[1])
         while self.todo:
@@ -344,9 +361,8 @@
         if vote := self._vote(now):
             return vote
         if self.charter.may_tell and self.charter.fronts > 1 and now >= self.told_at + TELL_EVERY:
-            busy = [machine for machine in self.machines.values() if machine.open]
-            payload = TALE + b"".join(machine.tag + bytes([min(255, round(machine.load / GRAIN))])
-                                      for machine in sorted(busy, key=_load, reverse=True)[:TELL_MOST])
+            busy = [machine for machine in self.machines.values() if machine.open][:TELL_MOST]
+            payload = TALE + b"".join(one.tag + bytes([min(255, round(one.load / GRAIN))]) for one in busy)
             if payload != self.told or now >= self.told_at + TRUST / 2:
                 self.told, self.told_at = payload, now
                 return (Do.TELL, payload)
@@ -373,7 +389,6 @@
     def _give_up(self, now: int, query: str, held: Query) -> Decision:
         """The final answer at once: a denial where a retry does no harm, else an abandonment."""
         self._end(query, held)
-        self._forget(query, held)
         profile = self.charter.profiles[held.profile]
         harmless = (profile.repeat is Repeat.RETRIABLE or not _may_have_run(held)
                     or profile.repeat is Repeat.FINGERPRINTED and profile.group is Group.ALL)
@@ -513,6 +528,10 @@
         vote = (news.build, news.stage, verdict)
         if vote == self.standing and now < self.stood_at + RENEW * self.charter.vote_life:
             return None
+        if vote != self.noted:
+            self.noted, slow = vote, (now - self.slump_since) // SECOND if self.slump_since else 0
+            self.note = (f"build {news.build} stage {news.stage}: votes {verdict.name.lower()}; {self.stage}; "
+                         f"{self.trial}; before {self.before}; late for {slow} s")
         self.asked, self.asked_at = vote, now
         return (Do.VOTE, *vote)
 
@@ -520,12 +539,14 @@
         """Test & Roll: judged at n*, or short of it once the stage has had its time."""
         pair = next((pair for pair in (self.stage, self.trial) if pair.earlier.n >= LEAST), None)
         # Threat: after a release there is no contrast, and a slowdown of everything, a burst or cold machines look like
-        # a bad build. From then on only failures count. Does not see a build that turns slow without failing.
+        # a bad build. From then on only failures count, and lateness that lasts longer than such troubles do (a build
+        # that slows every machine, or turns slow). May harm when one of them lasts longer still.
         released = news.phase is Phase.RELEASED
+        if released and self.slump_since is not None and now - self.slump_since >= LINGER:
+            return Verdict.BACK
         control = pair.earlier if pair else self.before
         mean = control.mean(released) if control.n >= LEAST else FIRST_MEAN
-        mu = min(mean, SURE)
-        s = sqrt(mu * (1 - mu))
+        mu, s = _clipped(mean)
         spread = (s / SIGMA) ** 2
         elapsed = 1 - exp((self.started - now - 1) / (HORIZON / 2))
         expected = self.arrivals * exp((self.arrivals_at - now) / (HORIZON / 2)) / elapsed * 2
@@ -542,9 +563,13 @@
             return ahead if stage.mean(released) >= mean or not stage.n else None
         else:
             return Verdict.HOLD if timed and stage.n and stage.mean() < mean else None
-        b = SIGMA ** 2 / (SIGMA ** 2 + s * s / judged.n)
-        posterior = (1 - b) * mu + b * judged.mean(released)
-        return Verdict.BACK if mu - posterior > MARGIN + 2 * s / sqrt(judged.n) else ahead
+        return Verdict.BACK if self._trails(judged.mean(released), judged.n, mean) else ahead
+
+    def _trails(self, new: float, n: float, earlier: float) -> bool:
+        """Whether the posterior mean of the new build lies under the earlier one's by more than the margin."""
+        mu, s = _clipped(earlier)
+        b = SIGMA ** 2 / (SIGMA ** 2 + s * s / n)
+        return mu - ((1 - b) * mu + b * new) > MARGIN + 2 * s / sqrt(n)
 
 
 def _place(news: News) -> tuple[int, int, int]:
@@ -553,12 +578,9 @@
     return (news.build, order.index(news.phase), news.stage)
 
 
-def _tag(machine: str) -> bytes:
-    return crc32(machine.encode()).to_bytes(4, "big")[:2]
-
-
-def _load(machine: Machine) -> float:
-    return machine.load
+def _clipped(mean: float) -> tuple[float, float]:
+    mu = min(mean, SURE)
+    return mu, sqrt(mu * (1 - mu))
 
 
 def _may_have_run(held: Query) -> bool:
