--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -553,7 +553,9 @@
         needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
         total, stage = self.trial.new, self.stage.new
         born = [machine.listed for machine in self.machines.values() if machine.build == news.build]
-        timed, clock = self.charter.control is Control.TIMER, now >= max(born, default=now) + PATIENT
+        last = news.stage >= len(self.charter.stage_caps) - 1
+        patience = PATIENT if last else min(PATIENT, self.charter.least_stage + SECOND // 2)
+        timed, clock = self.charter.control is Control.TIMER, now >= max(born, default=now) + patience
         ahead = None if timed or released else Verdict.ON
         if total.n >= needed:
             judged = stage if stage.n >= needed else total
