--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -47,6 +47,7 @@
 FAILING = 8.0  # a machine that fails all seems this many times further away
 FAILING_ONCE = 30.0  # and so for a query that cannot be handed off again after a failure
 COLD_PART = 0.7  # part of the pressure allowed on a cold machine that this front uses of its own share
+DONE_IN = 5 * SECOND  # the time over which work done is averaged
 CROWD = 0.5  # no hand-off where the waiting alone takes this part of the time left
 COPIES = 0.05  # second copies sent, as a share of the queries taken
 COPY_AT = 3.0  # a copy goes out after this many times the time expected
@@ -291,7 +292,7 @@
             self.took, self.work = self.took * FLEET + took, self.work * FLEET + hand_off.ahead
         if ending is Ending.OK:
             self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
-            self.done_work = self.done_work * exp((self.done_at - now) / (3 * SECOND)) + held.cost
+            self.done_work = self.done_work * exp((self.done_at - now) / DONE_IN) + held.cost
             self.done_at = now
         if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
             if machine.silent_since is not None:
@@ -495,9 +496,10 @@
 
     def _room(self, now: int, machine: Machine) -> float:
         """Work that a cold machine may still be sent: a part of the most that others were seen to do for this front."""
-        warm = sum(1 for other in self.machines.values() if other.ready and not self._cold(now, other))
-        done = self.done_work * exp((self.done_at - now) / (3 * SECOND)) / (3 * SECOND) / max(1, warm)
-        self.carried = max(self.carried, done)
+        warm = sum(1 for other in self.machines.values() if not self._cold(now, other))
+        if 2 * warm >= len(self.machines):  # where most are cold, the work was done by machines that have left
+            done = self.done_work * exp((self.done_at - now) / DONE_IN) / DONE_IN / max(1, warm)
+            self.carried = max(self.carried, done)
         rate = self.carried * COLD_PART * self.charter.fall_multiple * self._warmth(now, machine)
         machine.room = min(machine.room + rate * (now - machine.room_at), rate * self.charter.fall_span / 2)
         machine.room_at = now
