--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -21,6 +21,7 @@
 # The vote (Test & Roll).
 SIGMA = 0.05  # how far apart the true means of two builds are expected to lie
 MARGIN = 0.02  # the fixed part of the lead that the earlier build needs for a vote back
+LONE = 3  # times s/sqrt(n) added to the margin where a lone vote sends a build back; elsewhere 2
 HORIZON = 20 * SECOND  # the queries expected in this time are the paper's N
 FIRST_MEAN = 0.9  # the earlier build's mean until it has LEAST outcomes
 LEAST = 10  # outcomes below which nothing is judged by its mean
@@ -539,41 +540,38 @@
 
     def _verdict(self, now: int, news: News) -> Verdict | None:
         """Test & Roll: judged at n*, or short of it once the stage has had its time."""
-        pair = next((pair for pair in (self.stage, self.trial) if pair.earlier.n >= LEAST), None)
         # Threat: after a release there is no contrast, and a slowdown of everything, a burst or cold machines look like
         # a bad build. From then on only failures count, and lateness that lasts longer than such troubles do (a build
         # that slows every machine, or turns slow). May harm when one of them lasts longer still.
-        released = news.phase is Phase.RELEASED
+        released, timed = news.phase is Phase.RELEASED, self.charter.control is Control.TIMER
         if released and self.slump_since is not None and now - self.slump_since >= LINGER:
             return Verdict.BACK
-        control = pair.earlier if pair else self.before
-        mean = control.mean(released) if control.n >= LEAST else FIRST_MEAN
-        mu, s = _clipped(mean)
-        spread = (s / SIGMA) ** 2
         elapsed = 1 - exp((self.started - now - 1) / (HORIZON / 2))
         expected = self.arrivals * exp((self.arrivals_at - now) / (HORIZON / 2)) / elapsed * 2
-        needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
-        total, stage = self.trial.new, self.stage.new
-        born = [machine.listed for machine in self.machines.values() if machine.build == news.build]
+        listed = [machine.listed for machine in self.machines.values() if machine.build == news.build]
         last = news.stage >= len(self.charter.stage_caps) - 1
         patience = PATIENT if last else min(PATIENT, self.charter.least_stage + SECOND // 2)
-        timed, clock = self.charter.control is Control.TIMER, now >= max(born, default=now) + patience
+        clock = bool(listed) and now >= max(*listed, self.started) + patience
         ahead = None if timed or released else Verdict.ON
-        if total.n >= needed:
-            judged = stage if stage.n >= needed else total
-        elif clock and stage.n >= LEAST:
-            judged = stage
-        elif clock:
-            return ahead if stage.mean(released) >= mean or not stage.n else None
-        else:
-            return Verdict.HOLD if timed and stage.n and stage.mean() < mean else None
-        return Verdict.BACK if self._trails(judged.mean(released), judged.n, mean) else ahead
+        for span in (self.stage, self.trial):
+            control = span.earlier if span.earlier.n >= LEAST else self.before
+            mean = control.mean(released) if control.n >= LEAST else FIRST_MEAN
+            spread = (_clipped(mean)[1] / SIGMA) ** 2
+            needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
+            if span.new.n >= needed or clock and span is self.stage and span.new.n >= LEAST:
+                return Verdict.BACK if self._trails(span.new.mean(released), span.new.n, mean) else ahead
+        trails = self.stage.new.n and self.stage.new.mean(released) < mean
+        if clock:
+            return None if trails else ahead
+        return Verdict.HOLD if timed and trails else None
 
     def _trails(self, new: float, n: float, earlier: float) -> bool:
         """Whether the posterior mean of the new build lies under the earlier one's by more than the margin."""
         mu, s = _clipped(earlier)
         b = SIGMA ** 2 / (SIGMA ** 2 + s * s / n)
-        return mu - ((1 - b) * mu + b * new) > MARGIN + 2 * s / sqrt(n)
+        # Threat: where one vote decides, one front's freak draw does; it is looked at again with every outcome.
+        width = LONE if self.charter.votes_back <= 1 else 2
+        return mu - ((1 - b) * mu + b * new) > MARGIN + width * s / sqrt(n)
 
 
 def _place(news: News) -> tuple[int, int, int]:
