--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -27,7 +27,7 @@
 LEAST = 10  # outcomes below which nothing is judged by its mean
 PATIENT = 4 * SECOND  # a stage is judged this long after its newest machine was listed, short of n* or not
 FRESH = 3 * SECOND  # outcomes of machines listed more recently do not count
-SURE = 0.97  # a mean above this is taken for this, so that s never vanishes and no lone failure decides
+SURE = 0.985  # a mean above this is taken for this, so that s never vanishes and no lone failure decides
 LINGER = 8 * SECOND  # lateness after a release tells against the build when it lasts this long
 RENEW = 0.7  # a vote is cast again after this share of its life
 RETRY_VOTE = SECOND // 3  # after a vote that did not count
@@ -559,7 +559,11 @@
             spread = (_clipped(mean)[1] / SIGMA) ** 2
             needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
             if span.new.n >= needed or clock and span is self.stage and span.new.n >= LEAST:
-                return Verdict.BACK if self._trails(span.new.mean(released), span.new.n, mean) else ahead
+                # Threat: failures drown in the noise of lateness; by themselves they stand out far sooner.
+                sound = control.mean(True) if control.n >= LEAST else SURE
+                trails = (not released and self._trails(span.new.mean(), span.new.n, mean)
+                          or self._trails(span.new.mean(True), span.new.n, sound))
+                return Verdict.BACK if trails else ahead
         trails = self.stage.new.n and self.stage.new.mean(released) < mean
         if clock:
             return None if trails else ahead
