--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -27,7 +27,8 @@
 LEAST = 10  # outcomes below which nothing is judged by its mean
 PATIENT = 4 * SECOND  # a stage is judged this long after its newest machine was listed, short of n* or not
 FRESH = 3 * SECOND  # outcomes of machines listed more recently do not count
-SURE = 0.985  # a mean above this is taken for this, so that s never vanishes and no lone failure decides
+SURE = 0.965  # a mean above this is taken for this, so that s never vanishes and no lone lateness decides
+SOUND = 0.985  # and so the mean of those that did not fail, which hardly varies
 LINGER = 8 * SECOND  # lateness after a release tells against the build when it lasts this long
 RENEW = 0.7  # a vote is cast again after this share of its life
 RETRY_VOTE = SECOND // 3  # after a vote that did not count
@@ -116,6 +117,10 @@
         self.good += good
         self.sound += sound
 
+    def join(self, other: "Score", weight: float = 1.0) -> "Score":
+        return Score(*(mine + weight * more for mine, more in
+                       ((self.n, other.n), (self.good, other.good), (self.sound, other.sound))))
+
     def __str__(self) -> str:
         return f"{self.good:.0f} in time, {self.sound:.0f} sound of {self.n:.0f}"
 
@@ -125,7 +130,8 @@
 
 @dataclass(slots=True)
 class Contrast:
-    """Both sides over the same time. Threat: a general slowdown that looks like a bad build; also bursts."""
+    """Both sides over the same time. Threat: a general slowdown that looks like a bad build; also bursts. Past stages
+    are folded in with the earlier build's mean of each weighted by the new one's outcomes in it, as its share grows."""
 
     new: Score = field(default_factory=Score)
     earlier: Score = field(default_factory=Score)
@@ -162,7 +168,7 @@
         self.told, self.told_at = b"", 0
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
         self.before = Score()  # outcomes of the earlier build while none was on trial
-        self.trial, self.stage = Contrast(), Contrast()  # since the build was announced, since its stage began
+        self.trial, self.stage = Contrast(), Contrast()  # of the trial's past stages, of the present one
         self.slump = Score()  # the latest outcomes after the release
         self.slump_since: int | None = None  # since when all such outcomes trailed
         self.asked: tuple[int, int, Verdict] | None = None
@@ -246,8 +252,9 @@
         if old is None or news.build != old.build:
             if old and old.phase is Phase.RELEASED:  # what was new is the earlier build now
                 self.before = self.stage.new
-            self.trial = Contrast()
+            self.trial, self.stage = Contrast(), Contrast()
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
+            self.trial = self._since_trial()
             self.stage, self.slump, self.slump_since = Contrast(), Score(), None
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
@@ -327,9 +334,19 @@
 
     def _sides(self, build: int) -> tuple[Score, ...]:
         if self.news and build >= self.news.build:
-            return (self.trial.new, self.stage.new)
+            return (self.stage.new,)
         alone = self.news is None or self.news.phase is not Phase.TRIAL
-        return (self.trial.earlier, self.stage.earlier, *[self.before] * alone)
+        return (self.stage.earlier, *[self.before] * alone)
+
+    def _control(self) -> Score:
+        """The earlier build's outcomes in this stage, else from before the trial, else the first guess."""
+        return next((score for score in (self.stage.earlier, self.before) if score.n >= LEAST),
+                    Score(1, FIRST_MEAN, SOUND))
+
+    def _since_trial(self) -> Contrast:
+        control = self._control()
+        return Contrast(self.trial.new.join(self.stage.new),
+                        self.trial.earlier.join(control, self.stage.new.n / control.n))
 
     def _end(self, query: str, held: Query) -> None:
         """Calls off what is still out, once, and forgets the query when nothing is."""
@@ -534,7 +551,7 @@
         if vote != self.noted:
             self.noted, slow = vote, (now - self.slump_since) // SECOND if self.slump_since else 0
             self.note = (f"build {news.build} stage {news.stage}: votes {verdict.name.lower()}; {self.stage}; "
-                         f"{self.trial}; before {self.before}; late for {slow} s")
+                         f"since the trial {self._since_trial()}; late for {slow} s")
         self.asked, self.asked_at = vote, now
         return (Do.VOTE, *vote)
 
@@ -553,25 +570,23 @@
         patience = PATIENT if last else min(PATIENT, self.charter.least_stage + SECOND // 2)
         clock = bool(listed) and now >= max(*listed, self.started) + patience
         ahead = None if timed or released else Verdict.ON
-        for span in (self.stage, self.trial):
-            control = span.earlier if span.earlier.n >= LEAST else self.before
-            mean = control.mean(released) if control.n >= LEAST else FIRST_MEAN
-            spread = (_clipped(mean)[1] / SIGMA) ** 2
+        control, total = self._control(), self._since_trial()
+        for new, earlier in ((self.stage.new, control), (total.new, total.earlier)):
+            spread = (_clipped(earlier.mean(released))[1] / SIGMA) ** 2
             needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
-            if span.new.n >= needed or clock and span is self.stage and span.new.n >= LEAST:
+            if new.n >= needed or clock and new is self.stage.new and new.n >= LEAST:
                 # Threat: failures drown in the noise of lateness; by themselves they stand out far sooner.
-                sound = control.mean(True) if control.n >= LEAST else SURE
-                trails = (not released and self._trails(span.new.mean(), span.new.n, mean)
-                          or self._trails(span.new.mean(True), span.new.n, sound))
+                trails = (not released and self._trails(new.mean(), new.n, earlier.mean())
+                          or self._trails(new.mean(True), new.n, earlier.mean(True), SOUND))
                 return Verdict.BACK if trails else ahead
-        trails = self.stage.new.n and self.stage.new.mean(released) < mean
+        trails = self.stage.new.n and self.stage.new.mean(released) < control.mean(released)
         if clock:
             return None if trails else ahead
         return Verdict.HOLD if timed and trails else None
 
-    def _trails(self, new: float, n: float, earlier: float) -> bool:
+    def _trails(self, new: float, n: float, earlier: float, sure: float = SURE) -> bool:
         """Whether the posterior mean of the new build lies under the earlier one's by more than the margin."""
-        mu, s = _clipped(earlier)
+        mu, s = _clipped(earlier, sure)
         b = SIGMA ** 2 / (SIGMA ** 2 + s * s / n)
         # Threat: where one vote decides, one front's freak draw does; it is looked at again with every outcome.
         width = LONE if self.charter.votes_back <= 1 else 2
@@ -584,8 +599,8 @@
     return (news.build, order.index(news.phase), news.stage)
 
 
-def _clipped(mean: float) -> tuple[float, float]:
-    mu = min(mean, SURE)
+def _clipped(mean: float, sure: float = SURE) -> tuple[float, float]:
+    mu = min(mean, sure)
     return mu, sqrt(mu * (1 - mu))
 
 
