--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -57,6 +57,30 @@
 EARLY = 15_000  # a useless hand-off ends this long before the target time, so that the answer is in time
 
 
+@dataclass(slots=True)
+class Score:
+    """Outcomes of one side: how many, how many were done within the target time, how many did not fail."""
+
+    n: float = 0
+    good: float = 0
+    sound: float = 0
+
+    def add(self, good: bool, sound: bool) -> None:
+        self.n += 1
+        self.good += good
+        self.sound += sound
+
+    def join(self, other: "Score", weight: float = 1.0) -> "Score":
+        return Score(*(mine + weight * more for mine, more in
+                       ((self.n, other.n), (self.good, other.good), (self.sound, other.sound))))
+
+    def __str__(self) -> str:
+        return f"{self.good:.0f} in time, {self.sound:.0f} sound of {self.n:.0f}"
+
+    def mean(self, released: bool = False) -> float:
+        return (self.sound if released else self.good) / self.n if self.n else 0.0
+
+
 @dataclass(slots=True)
 class Machine:
     """All that this front knows of one machine."""
@@ -70,6 +94,7 @@
     listed: int
     tag: bytes  # its name among peers
     room_at: int
+    stage: Score  # its outcomes in the present stage
     took: float = 0.0  # answer times, and the work that stood before those answers, both losing weight with time
     work: float = 0.0
     paced_at: int = 0
@@ -104,30 +129,6 @@
     copy_at: int = 0
 
 
-@dataclass(slots=True)
-class Score:
-    """Outcomes of one side: how many, how many were done within the target time, how many did not fail."""
-
-    n: float = 0
-    good: float = 0
-    sound: float = 0
-
-    def add(self, good: bool, sound: bool) -> None:
-        self.n += 1
-        self.good += good
-        self.sound += sound
-
-    def join(self, other: "Score", weight: float = 1.0) -> "Score":
-        return Score(*(mine + weight * more for mine, more in
-                       ((self.n, other.n), (self.good, other.good), (self.sound, other.sound))))
-
-    def __str__(self) -> str:
-        return f"{self.good:.0f} in time, {self.sound:.0f} sound of {self.n:.0f}"
-
-    def mean(self, released: bool = False) -> float:
-        return (self.sound if released else self.good) / self.n if self.n else 0.0
-
-
 @dataclass(slots=True)
 class Contrast:
     """Both sides over the same time. Threat: a general slowdown that looks like a bad build; also bursts. Past stages
@@ -232,7 +233,8 @@
             else:
                 listed = entry.born if kind is Listing.CACHED else now
                 tag = crc32(entry.machine.encode()).to_bytes(4)[:2]
-                self.machines[entry.machine] = Machine(*entry[:4], entry.readiness == 1, entry.born, listed, tag, now)
+                self.machines[entry.machine] = Machine(*entry[:4], entry.readiness == 1, entry.born, listed, tag, now,
+                                                       Score())
         self._reckon_share()
 
     def release_news(self, now: int, news: News) -> None:
@@ -255,6 +257,8 @@
             self.trial, self.stage = Contrast(), Contrast()
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
             self.trial = self._since_trial()
+            for machine in self.machines.values():
+                machine.stage = Score()
             self.stage, self.slump, self.slump_since = Contrast(), Score(), None
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
@@ -322,7 +326,7 @@
             return
         held.scored.add(machine.build)  # retries of one failure are no further evidence: one score a query and build
         good = ending is Ending.OK and took <= target
-        for score in self._sides(machine.build):
+        for score in (machine.stage, *self._sides(machine.build)):
             score.add(good, ending is not Ending.ERROR)
         if self.news and self.news.phase is Phase.RELEASED and machine.build == self.news.build:
             self.slump.add(good, True)
@@ -571,10 +575,14 @@
         clock = bool(listed) and now >= max(*listed, self.started) + patience
         ahead = None if timed or released else Verdict.ON
         control, total = self._control(), self._since_trial()
-        for new, earlier in ((self.stage.new, control), (total.new, total.earlier)):
+        # Threat: one machine of the trial that fails or is slow by itself is taken for the build. Where three or more
+        # were used, the worst is left out. Delays the sight of a build that turns bad machine by machine.
+        used = [machine.stage for machine in self.machines.values() if machine.build == news.build and machine.stage.n]
+        worst = max(used, key=lambda score: 2 * score.n - score.good - score.sound) if len(used) > 2 else Score()
+        for new, earlier in ((self.stage.new.join(worst, -1), control), (total.new.join(worst, -1), total.earlier)):
             spread = (_clipped(earlier.mean(released))[1] / SIGMA) ** 2
             needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
-            if new.n >= needed or clock and new is self.stage.new and new.n >= LEAST:
+            if new.n >= needed or clock and earlier is control and new.n >= LEAST:
                 # Threat: failures drown in the noise of lateness; by themselves they stand out far sooner.
                 trails = (not released and self._trails(new.mean(), new.n, earlier.mean())
                           or self._trails(new.mean(True), new.n, earlier.mean(True), SOUND))
