--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -29,6 +29,7 @@
 FRESH = 3 * SECOND  # outcomes of machines listed more recently do not count
 SURE = 0.965  # a mean above this is taken for this, so that s never vanishes and no lone lateness decides
 SOUND = 0.985  # and so the mean of those that did not fail, which hardly varies
+CHUNK = 40  # outcomes after a release that are looked at together
 LINGER = 8 * SECOND  # lateness after a release tells against the build when it lasts this long
 RENEW = 0.7  # a vote is cast again after this share of its life
 RETRY_VOTE = SECOND // 3  # after a vote that did not count
@@ -57,30 +58,6 @@
 EARLY = 15_000  # a useless hand-off ends this long before the target time, so that the answer is in time
 
 
-@dataclass(slots=True)
-class Score:
-    """Outcomes of one side: how many, how many were done within the target time, how many did not fail."""
-
-    n: float = 0
-    good: float = 0
-    sound: float = 0
-
-    def add(self, good: bool, sound: bool) -> None:
-        self.n += 1
-        self.good += good
-        self.sound += sound
-
-    def join(self, other: "Score", weight: float = 1.0) -> "Score":
-        return Score(*(mine + weight * more for mine, more in
-                       ((self.n, other.n), (self.good, other.good), (self.sound, other.sound))))
-
-    def __str__(self) -> str:
-        return f"{self.good:.0f} in time, {self.sound:.0f} sound of {self.n:.0f}"
-
-    def mean(self, released: bool = False) -> float:
-        return (self.sound if released else self.good) / self.n if self.n else 0.0
-
-
 @dataclass(slots=True)
 class Machine:
     """All that this front knows of one machine."""
@@ -94,7 +71,6 @@
     listed: int
     tag: bytes  # its name among peers
     room_at: int
-    stage: Score  # its outcomes in the present stage
     took: float = 0.0  # answer times, and the work that stood before those answers, both losing weight with time
     work: float = 0.0
     paced_at: int = 0
@@ -129,6 +105,30 @@
     copy_at: int = 0
 
 
+@dataclass(slots=True)
+class Score:
+    """Outcomes of one side: how many, how many were done within the target time, how many did not fail."""
+
+    n: float = 0
+    good: float = 0
+    sound: float = 0
+
+    def add(self, good: bool, sound: bool) -> None:
+        self.n += 1
+        self.good += good
+        self.sound += sound
+
+    def join(self, other: "Score", weight: float = 1.0) -> "Score":
+        return Score(*(mine + weight * more for mine, more in
+                       ((self.n, other.n), (self.good, other.good), (self.sound, other.sound))))
+
+    def __str__(self) -> str:
+        return f"{self.good:.0f} in time, {self.sound:.0f} sound of {self.n:.0f}"
+
+    def mean(self, released: bool = False) -> float:
+        return (self.sound if released else self.good) / self.n if self.n else 0.0
+
+
 @dataclass(slots=True)
 class Contrast:
     """Both sides over the same time. Threat: a general slowdown that looks like a bad build; also bursts. Past stages
@@ -168,7 +168,7 @@
         self.peers: dict[int, int] = {}  # when each was last heard
         self.told, self.told_at = b"", 0
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
-        self.before = Score()  # outcomes of the earlier build while none was on trial
+        self.before, self.calm = Score(), Score()  # outcomes outside trials: until this build came, and since
         self.trial, self.stage = Contrast(), Contrast()  # of the trial's past stages, of the present one
         self.slump = Score()  # the latest outcomes after the release
         self.slump_since: int | None = None  # since when all such outcomes trailed
@@ -233,8 +233,7 @@
             else:
                 listed = entry.born if kind is Listing.CACHED else now
                 tag = crc32(entry.machine.encode()).to_bytes(4)[:2]
-                self.machines[entry.machine] = Machine(*entry[:4], entry.readiness == 1, entry.born, listed, tag, now,
-                                                       Score())
+                self.machines[entry.machine] = Machine(*entry[:4], entry.readiness == 1, entry.born, listed, tag, now)
         self._reckon_share()
 
     def release_news(self, now: int, news: News) -> None:
@@ -252,13 +251,10 @@
                 self.news = old._replace(cap=min(old.cap, news.cap))
             return
         if old is None or news.build != old.build:
-            if old and old.phase is Phase.RELEASED:  # what was new is the earlier build now
-                self.before = self.stage.new
+            self.before, self.calm = self.calm, Score()
             self.trial, self.stage = Contrast(), Contrast()
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
             self.trial = self._since_trial()
-            for machine in self.machines.values():
-                machine.stage = Score()
             self.stage, self.slump, self.slump_since = Contrast(), Score(), None
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
@@ -273,9 +269,9 @@
         """Threat: wrong answers look done. One that is told stands for those that are not; a false one does too."""
         known = self.machines.get(machine)
         if known and self.charter.complaint_share and now - age - known.listed >= FRESH:
-            for score in self._sides(known.build):
-                score.good = max(0.0, score.good - 1 / self.charter.complaint_share)
-                score.sound = max(0.0, score.sound - 1 / self.charter.complaint_share)
+            score = self._side(known.build)
+            score.good = max(0.0, score.good - 1 / self.charter.complaint_share)
+            score.sound = max(0.0, score.sound - 1 / self.charter.complaint_share)
 
     def probe_ended(self, now: int, machine: str, ending: Ending, load: Sequence[float] | None) -> None:
         """Not used: probes have not paid their price."""
@@ -326,21 +322,23 @@
             return
         held.scored.add(machine.build)  # retries of one failure are no further evidence: one score a query and build
         good = ending is Ending.OK and took <= target
-        for score in (machine.stage, *self._sides(machine.build)):
-            score.add(good, ending is not Ending.ERROR)
-        if self.news and self.news.phase is Phase.RELEASED and machine.build == self.news.build:
-            self.slump.add(good, True)
-            if self.slump.n >= 2 * LEAST:
-                trails = self._trails(self.slump.mean(), self.slump.n, self.before.mean() if self.before.n else 0.0)
-                self.slump, self.slump_since = Score(), (self.slump_since or now) if trails else None
+        self._side(machine.build).add(good, ending is not Ending.ERROR)
+        self._calm(now, good, ending is not Ending.ERROR)
         if good and held.key and self.charter.one_way and self._on_trial(machine.build):
             self.answered.add(held.key)
 
-    def _sides(self, build: int) -> tuple[Score, ...]:
-        if self.news and build >= self.news.build:
-            return (self.stage.new,)
-        alone = self.news is None or self.news.phase is not Phase.TRIAL
-        return (self.stage.earlier, *[self.before] * alone)
+    def _side(self, build: int) -> Score:
+        return self.stage.new if self.news and build >= self.news.build else self.stage.earlier
+
+    def _calm(self, now: int, good: bool, sound: bool) -> None:
+        """Outside trials all counts, also what is given up on: denials keep the rest in time and hide a slowdown."""
+        if self.news is None or self.news.phase is Phase.TRIAL:
+            return
+        self.calm.add(good, sound)
+        self.slump.add(good, sound)
+        if self.slump.n >= CHUNK:
+            trails = self._trails(self.slump.mean(), self.slump.n, self.before.mean() if self.before.n else 0.0)
+            self.slump, self.slump_since = Score(), (self.slump_since or now) if trails else None
 
     def _control(self) -> Score:
         """The earlier build's outcomes in this stage, else from before the trial, else the first guess."""
@@ -412,6 +410,8 @@
     def _give_up(self, now: int, query: str, held: Query) -> Decision:
         """The final answer at once: a denial where a retry does no harm, else an abandonment."""
         self._end(query, held)
+        if not held.hand_offs:
+            self._calm(now, False, True)
         profile = self.charter.profiles[held.profile]
         harmless = (profile.repeat is Repeat.RETRIABLE or not _may_have_run(held)
                     or profile.repeat is Repeat.FINGERPRINTED and profile.group is Group.ALL)
@@ -575,14 +575,10 @@
         clock = bool(listed) and now >= max(*listed, self.started) + patience
         ahead = None if timed or released else Verdict.ON
         control, total = self._control(), self._since_trial()
-        # Threat: one machine of the trial that fails or is slow by itself is taken for the build. Where three or more
-        # were used, the worst is left out. Delays the sight of a build that turns bad machine by machine.
-        used = [machine.stage for machine in self.machines.values() if machine.build == news.build and machine.stage.n]
-        worst = max(used, key=lambda score: 2 * score.n - score.good - score.sound) if len(used) > 2 else Score()
-        for new, earlier in ((self.stage.new.join(worst, -1), control), (total.new.join(worst, -1), total.earlier)):
+        for new, earlier in ((self.stage.new, control), (total.new, total.earlier)):
             spread = (_clipped(earlier.mean(released))[1] / SIGMA) ** 2
             needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
-            if new.n >= needed or clock and earlier is control and new.n >= LEAST:
+            if new.n >= needed or clock and new is self.stage.new and new.n >= LEAST:
                 # Threat: failures drown in the noise of lateness; by themselves they stand out far sooner.
                 trails = (not released and self._trails(new.mean(), new.n, earlier.mean())
                           or self._trails(new.mean(True), new.n, earlier.mean(True), SOUND))
