--- /dev/null
+++ b/umbermoor/records.py
@@ -0,0 +1,86 @@
+"""What one front remembers: plain records of machines, queries and outcomes. Nothing is decided here."""
+
+from dataclasses import dataclass, field
+
+from umbermoor.interface import NEVER_RAN, Ending
+
+
+@dataclass(slots=True)
+class Machine:
+    """All that this front knows of one machine."""
+
+    id: str
+    build: int
+    zone: int
+    cell: int
+    ready: bool
+    born: int
+    listed: int
+    tag: bytes  # its name among peers
+    room_at: int
+    took: float = 0.0  # answer times, and the work that stood before those answers, both losing weight with time
+    work: float = 0.0
+    seen: int = 0
+    fails: float = 0.0
+    gap: float = 0.0  # usual silence between answers while it holds work
+    silent_since: int | None = None
+    open: int = 0
+    load: float = 0.0  # expected work of the hand-offs it holds
+    others: dict[int, float] = field(default_factory=dict)  # and of those that each peer says it has there
+    room: float = 0.0  # work that it may be sent while cold
+
+
+@dataclass(slots=True)
+class HandOff:
+    machine: Machine
+    sent: int
+    ahead: float  # the query's own expected work and that which the machine held already
+    ending: Ending | None = None
+
+
+@dataclass(slots=True)
+class Query:
+    profile: int
+    key: str | None
+    came: int
+    due: int
+    cost: float
+    hand_offs: list[HandOff] = field(default_factory=list)
+    scored: set[int] = field(default_factory=set)
+    ended: bool = False
+    copy_at: int = 0
+
+    @property
+    def ran(self) -> HandOff | None:
+        """The first hand-off that is not known not to have run."""
+        return next((hand_off for hand_off in self.hand_offs if hand_off.ending not in NEVER_RAN), None)
+
+
+@dataclass(slots=True)
+class Score:
+    """Outcomes of one side: how many, how many were done within the target time, how many did not fail."""
+
+    n: float = 0
+    good: float = 0
+    sound: float = 0
+
+    def add(self, good: bool, sound: bool) -> None:
+        self.n += 1
+        self.good += good
+        self.sound += sound
+
+    def join(self, other: "Score", weight: float = 1.0) -> "Score":
+        return Score(*(mine + weight * more for mine, more in
+                       ((self.n, other.n), (self.good, other.good), (self.sound, other.sound))))
+
+    def mean(self, released: bool = False) -> float:
+        return (self.sound if released else self.good) / self.n if self.n else 0.0
+
+
+@dataclass(slots=True)
+class Contrast:
+    """Both sides over the same time. Threat: a general slowdown that looks like a bad build; also bursts. Past stages
+    are folded in with the earlier build's mean of each weighted by the new one's outcomes in it, as its share grows."""
+
+    new: Score = field(default_factory=Score)
+    earlier: Score = field(default_factory=Score)
--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -1,20 +1,20 @@
 """Every decision of one front: which machine takes a query, what is given up on, and how to vote on a build.
 
 A host makes one Front a front from its Charter, reports what it sees through the calls (they only take note), then
-calls decide(now) until it answers None. The types and the calls stand in umbermoor/interface.py, the reasons in
-docs/design.md. Times are whole microseconds.
+calls decide(now) until it answers None. The types and the calls stand in umbermoor/interface.py, the
+records it keeps in umbermoor/records.py, the reasons in docs/design.md. Times are whole microseconds.
 """
 
 import heapq
 import random
 from collections import deque
-from dataclasses import dataclass, field
 from math import exp, log, sqrt
 from typing import Sequence
 from zlib import crc32
 
-from umbermoor.interface import (NEVER_RAN, Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase,
-                                 Repeat, Verdict)
+from umbermoor.interface import (Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase, Repeat,
+                                 Verdict)
+from umbermoor.records import Contrast, HandOff, Machine, Query, Score
 
 SECOND = 1_000_000
 
@@ -58,89 +58,6 @@
 EARLY = 15_000  # a useless hand-off ends this long before the target time, so that the answer is in time
 
 
-@dataclass(slots=True)
-class Machine:
-    """All that this front knows of one machine."""
-
-    id: str
-    build: int
-    zone: int
-    cell: int
-    ready: bool
-    born: int
-    listed: int
-    tag: bytes  # its name among peers
-    room_at: int
-    took: float = 0.0  # answer times, and the work that stood before those answers, both losing weight with time
-    work: float = 0.0
-    paced_at: int = 0
-    seen: int = 0
-    fails: float = 0.0
-    gap: float = 0.0  # usual silence between answers while it holds work
-    silent_since: int | None = None
-    open: int = 0
-    load: float = 0.0  # expected work of the hand-offs it holds
-    others: dict[int, float] = field(default_factory=dict)  # and of those that each peer says it has there
-    room: float = 0.0  # work that it may be sent while cold
-
-
-@dataclass(slots=True)
-class HandOff:
-    machine: Machine
-    sent: int
-    ahead: float  # the query's own expected work and that which the machine held already
-    ending: Ending | None = None
-
-
-@dataclass(slots=True)
-class Query:
-    profile: int
-    key: str | None
-    came: int
-    due: int
-    cost: float
-    hand_offs: list[HandOff] = field(default_factory=list)
-    scored: set[int] = field(default_factory=set)
-    ended: bool = False
-    copy_at: int = 0
-
-
-@dataclass(slots=True)
-class Score:
-    """Outcomes of one side: how many, how many were done within the target time, how many did not fail."""
-
-    n: float = 0
-    good: float = 0
-    sound: float = 0
-
-    def add(self, good: bool, sound: bool) -> None:
-        self.n += 1
-        self.good += good
-        self.sound += sound
-
-    def join(self, other: "Score", weight: float = 1.0) -> "Score":
-        return Score(*(mine + weight * more for mine, more in
-                       ((self.n, other.n), (self.good, other.good), (self.sound, other.sound))))
-
-    def __str__(self) -> str:
-        return f"{self.good:.0f} in time, {self.sound:.0f} sound of {self.n:.0f}"
-
-    def mean(self, released: bool = False) -> float:
-        return (self.sound if released else self.good) / self.n if self.n else 0.0
-
-
-@dataclass(slots=True)
-class Contrast:
-    """Both sides over the same time. Threat: a general slowdown that looks like a bad build; also bursts. Past stages
-    are folded in with the earlier build's mean of each weighted by the new one's outcomes in it, as its share grows."""
-
-    new: Score = field(default_factory=Score)
-    earlier: Score = field(default_factory=Score)
-
-    def __str__(self) -> str:
-        return f"new {self.new}, earlier {self.earlier}"
-
-
 class Front:
     def __init__(self, charter: Charter) -> None:
         self.charter = charter
@@ -258,6 +175,7 @@
             self.stage, self.slump, self.slump_since = Contrast(), Score(), None
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
+        if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN) or old is None or news.build != old.build:
             self.answered.clear()
         self.news = news
         self._reckon_share()
@@ -271,7 +189,7 @@
         if known and self.charter.complaint_share and now - age - known.listed >= FRESH:
             score = self._side(known.build)
             score.good = max(0.0, score.good - 1 / self.charter.complaint_share)
-            score.sound = max(0.0, score.sound - 1 / self.charter.complaint_share)
+            score.sound = max(0.0, score.sound - 1)
 
     def probe_ended(self, now: int, machine: str, ending: Ending, load: Sequence[float] | None) -> None:
         """Not used: probes have not paid their price."""
@@ -293,10 +211,11 @@
         machine = hand_off.machine
         machine.open -= 1
         machine.load = max(0.0, machine.load - held.cost) if machine.open else 0.0
-        if ending is Ending.OK or took > self._paced(now, machine) * hand_off.ahead:
-            fade = exp((machine.paced_at - now) / RECENT)
-            machine.took, machine.work = machine.took * fade + took, machine.work * fade + hand_off.ahead
-            machine.paced_at = now
+        slow, fade = took > self._paced(now, machine) * hand_off.ahead, exp((machine.seen - now) / RECENT)
+        machine.took, machine.work, machine.fails, machine.seen = (
+            machine.took * fade, machine.work * fade, machine.fails * fade, now)
+        if ending is Ending.OK or slow:
+            machine.took, machine.work = machine.took + took, machine.work + hand_off.ahead
             self.took, self.work = self.took * FLEET + took, self.work * FLEET + hand_off.ahead
         if ending is Ending.OK:
             self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
@@ -311,9 +230,7 @@
         if not machine.open:  # an idle machine is not silent, whatever ended its last hand-off
             machine.silent_since = None
         if ending not in (Ending.CANCELLED, Ending.MOOT, Ending.TIMEOUT):
-            kept = machine.fails * exp((machine.seen - now) / RECENT)
-            machine.fails = kept + ((ending is not Ending.OK) - kept) * LEARN
-            machine.seen = now
+            machine.fails += ((ending is not Ending.OK) - machine.fails) * LEARN
 
     def _score(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
         machine, target = hand_off.machine, self.charter.profiles[held.profile].target
@@ -324,7 +241,7 @@
         good = ending is Ending.OK and took <= target
         self._side(machine.build).add(good, ending is not Ending.ERROR)
         self._calm(now, good, ending is not Ending.ERROR)
-        if good and held.key and self.charter.one_way and self._on_trial(machine.build):
+        if good and held.key and self.charter.one_way and self.news and machine.build >= self.news.build:
             self.answered.add(held.key)
 
     def _side(self, build: int) -> Score:
@@ -413,7 +330,7 @@
         if not held.hand_offs:
             self._calm(now, False, True)
         profile = self.charter.profiles[held.profile]
-        harmless = (profile.repeat is Repeat.RETRIABLE or not _may_have_run(held)
+        harmless = (profile.repeat is Repeat.RETRIABLE or not held.ran
                     or profile.repeat is Repeat.FINGERPRINTED and profile.group is Group.ALL)
         return (Do.DENY, query, self.charter.most_advice) if harmless else (Do.ABANDON, query)
 
@@ -445,7 +362,7 @@
         if hand_offs:
             if not charter.may_copy and hand_offs[-1].ending is None:
                 return False
-            ran = next((sent for sent in hand_offs if sent.ending not in NEVER_RAN), None)
+            ran = held.ran
             if ran and profile.repeat is Repeat.BINDING:
                 return False
             if ran and profile.repeat is Repeat.FINGERPRINTED and (
@@ -465,7 +382,7 @@
                 return False
         elif held.key in self.answered and machine.build < self.news.build:
             return False
-        return not self._cold(now, machine) or self._room(now, machine) >= 0
+        return self._warmth(now, machine) >= 1 or self._room(now, machine) >= 0
 
     def _choose(self, now: int, held: Query, left: int) -> Machine | None:
         """The trial's turn goes by its machines' share; within a build the machine that seems nearest."""
@@ -494,9 +411,7 @@
             time *= 10 ** min(6.0, max(0.0, phi - DOUBT))
         fails = machine.fails * exp((machine.seen - now) / RECENT)
         weight = FAILING if self.charter.profiles[held.profile].repeat is Repeat.RETRIABLE else FAILING_ONCE
-        if self._cold(now, machine):
-            time /= self._warmth(now, machine)
-        return time * (1 + weight * fails) * (1 + 0.1 * self.random())
+        return time / self._warmth(now, machine) * (1 + weight * fails) * (1 + 0.1 * self.random())
 
     def _load(self, now: int, machine: Machine) -> float:
         """Open work there: this front's and what peers told of late. Threat: each front sees only its own part."""
@@ -504,21 +419,19 @@
 
     def _paced(self, now: int, machine: Machine) -> float:
         """Answer time over the work ahead: the machine's own, leaning on the fleet's where little was seen of late."""
-        fade, lean = exp((machine.paced_at - now) / RECENT), LEAN * self.usual[0]
+        fade, lean = exp((machine.seen - now) / RECENT), LEAN * self.usual[0]
         return (machine.took * fade + lean * self.took / self.work) / (machine.work * fade + lean)
 
     # Cold machines.
 
-    def _cold(self, now: int, machine: Machine) -> bool:
-        return machine.born > 0 and now - machine.born < self.charter.warm_within
-
     def _warmth(self, now: int, machine: Machine) -> float:
-        grown = (now - machine.born) / max(1, self.charter.warm_within)
+        """The part of its capacity that the machine has by now at the least; 1 when it is warm."""
+        grown = (now - machine.born) / max(1, self.charter.warm_within) if machine.born else 1.0
         return self.charter.cold_from + (1 - self.charter.cold_from) * min(1.0, max(0.0, grown))
 
     def _room(self, now: int, machine: Machine) -> float:
         """Work that a cold machine may still be sent: a part of the most that others were seen to do for this front."""
-        warm = sum(1 for other in self.machines.values() if not self._cold(now, other))
+        warm = sum(1 for other in self.machines.values() if self._warmth(now, other) >= 1)
         if 2 * warm >= len(self.machines):  # where most are cold, the work was done by machines that have left
             done = self.done_work * exp((self.done_at - now) / DONE_IN) / DONE_IN / max(1, warm)
             self.carried = max(self.carried, done)
@@ -553,9 +466,7 @@
         if vote == self.standing and now < self.stood_at + RENEW * self.charter.vote_life:
             return None
         if vote != self.noted:
-            self.noted, slow = vote, (now - self.slump_since) // SECOND if self.slump_since else 0
-            self.note = (f"build {news.build} stage {news.stage}: votes {verdict.name.lower()}; {self.stage}; "
-                         f"since the trial {self._since_trial()}; late for {slow} s")
+            self.noted, self.note = vote, f"{news}: votes {verdict.name}; stage {self.stage}; {self._since_trial()}"
         self.asked, self.asked_at = vote, now
         return (Do.VOTE, *vote)
 
@@ -606,7 +517,3 @@
 def _clipped(mean: float, sure: float = SURE) -> tuple[float, float]:
     mu = min(mean, sure)
     return mu, sqrt(mu * (1 - mu))
-
-
-def _may_have_run(held: Query) -> bool:
-    return any(hand_off.ending not in NEVER_RAN for hand_off in held.hand_offs)
