--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -17,6 +17,7 @@
 from umbermoor.records import Contrast, HandOff, Machine, Query, Score
 
 SECOND = 1_000_000
+MOVING = (Phase.TRIAL, Phase.GOING_BACK)
 
 # The vote (Test & Roll).
 SIGMA = 0.05  # how far apart the true means of two builds are expected to lie
@@ -373,8 +374,8 @@
         if self._on_trial(machine.build):
             news = self.news
             announced = news is not None and machine.build == news.build
-            if news and (announced and news.phase is not Phase.TRIAL or not announced and news.phase is Phase.TRIAL):
-                return False
+            if news and (announced and news.cap <= 0 or not announced and news.phase in MOVING):
+                return False  # on its way back a build may still take what its falling cap lets it
             stage = news.stage if announced else 0
             if stage < charter.guarded_stages and profile.repeat is not Repeat.RETRIABLE:
                 return False
@@ -448,7 +449,7 @@
         return build > self.news.build or build == self.news.build and self.news.phase is not Phase.RELEASED
 
     def _cap(self) -> float:
-        return self.news.cap if self.news and self.news.phase is Phase.TRIAL else self.charter.stage_caps[0]
+        return self.news.cap if self.news and self.news.phase in MOVING else self.charter.stage_caps[0]
 
     def _reckon_share(self) -> None:
         ready = [machine for machine in self.machines.values() if machine.ready]
