--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -31,6 +31,9 @@
 SURE = 0.965  # a mean above this is taken for this, so that s never vanishes and no lone lateness decides
 SOUND = 0.985  # and so the mean of those that did not fail, which hardly varies
 CHUNK = 40  # outcomes after a release that are looked at together
+DRAGGED = 1.4  # earlier machines that take this many times as long as before the trial hold up the release
+DRAG_KEEP = 0.97  # what is known of that is kept with each outcome
+HOLD = 10 * SECOND  # a release held up for this long goes back
 LINGER = 8 * SECOND  # lateness after a release tells against the build when it lasts this long
 RENEW = 0.7  # a vote is cast again after this share of its life
 RETRY_VOTE = SECOND // 3  # after a vote that did not count
@@ -88,6 +91,8 @@
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
         self.before, self.calm = Score(), Score()  # outcomes outside trials: until this build came, and since
         self.trial, self.stage = Contrast(), Contrast()  # of the trial's past stages, of the present one
+        self.base, self.drag = list(self.usual), [1.0, 1.0]  # usual answer times before the trial, and since, by sums
+        self.held_since: int | None = None  # since when the last stage is held back
         self.slump = Score()  # the latest outcomes after the release
         self.slump_since: int | None = None  # since when all such outcomes trailed
         self.asked: tuple[int, int, Verdict] | None = None
@@ -170,6 +175,7 @@
             return
         if old is None or news.build != old.build:
             self.before, self.calm = self.calm, Score()
+            self.base, self.drag = list(self.usual), [30 * max(self.usual)] * 2
             self.trial, self.stage = Contrast(), Contrast()
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
             self.trial = self._since_trial()
@@ -219,6 +225,9 @@
             machine.took, machine.work = machine.took + took, machine.work + hand_off.ahead
             self.took, self.work = self.took * FLEET + took, self.work * FLEET + hand_off.ahead
         if ending is Ending.OK:
+            if self.news and machine.build < self.news.build:
+                base = self.base[held.profile] or took
+                self.drag = [self.drag[0] * DRAG_KEEP + took, self.drag[1] * DRAG_KEEP + base]
             self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
             self.done_work = self.done_work * exp((self.done_at - now) / DONE_IN) + held.cost
             self.done_at = now
@@ -494,12 +503,22 @@
                 # Threat: failures drown in the noise of lateness; by themselves they stand out far sooner.
                 trails = (not released and self._trails(new.mean(), new.n, earlier.mean())
                           or self._trails(new.mean(True), new.n, earlier.mean(True), SOUND))
-                return Verdict.BACK if trails else ahead
+                return Verdict.BACK if trails else self._unless_dragged(now, ahead) if last else ahead
         trails = self.stage.new.n and self.stage.new.mean(released) < control.mean(released)
         if clock:
-            return None if trails else ahead
+            return None if trails else self._unless_dragged(now, ahead) if last else ahead
         return Verdict.HOLD if timed and trails else None
 
+    def _unless_dragged(self, now: int, ahead: Verdict | None) -> Verdict | None:
+        """Threat: a build that slows every machine in step with its traffic. Before it gets all of it, the earlier
+        machines must answer about as fast as before the trial. Also holds up good builds in a slowdown or a burst,
+        until it ends; may send one back that meets a longer one."""
+        slow = self.drag[0] > DRAGGED * self.drag[1]
+        self.held_since = (self.held_since or now) if slow else None
+        if not slow or ahead is None:
+            return ahead
+        return Verdict.BACK if now - self.held_since >= HOLD else None
+
     def _trails(self, new: float, n: float, earlier: float, sure: float = SURE) -> bool:
         """Whether the posterior mean of the new build lies under the earlier one's by more than the margin."""
         mu, s = _clipped(earlier, sure)
