--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -51,8 +51,8 @@
 LEAN = 2.0  # a machine's pace leans on the fleet's as if that many usual queries had been seen
 LEARN = 0.2  # weight of the newest outcome in a machine's averages
 DOUBT = 0.5  # silence counts against a machine from this phi on, tenfold for each 1 of phi
-FAILING = 8.0  # a machine that fails all seems this many times further away
-FAILING_ONCE = 30.0  # and so for a query that cannot be handed off again after a failure
+FAILING = 30.0  # a machine that fails all seems this many times further away
+FAILING_ONCE = 100.0  # and so for a query that cannot be handed off again after a failure
 COLD_PART = 0.7  # part of the pressure allowed on a cold machine that this front uses of its own share
 DONE_IN = 5 * SECOND  # the time over which work done is averaged
 CROWD = 0.5  # no hand-off where the waiting alone takes this part of the time left
@@ -72,6 +72,7 @@
         self.later: list[tuple[int, str]] = []
         self.cancels: deque[tuple[str, int]] = deque()
         self.usual = [row.target / 5 for row in charter.profiles]  # expected work where no hint comes
+        self.mean_cost = max(self.usual, default=0.0)
         self.took = self.work = 1.0 * SECOND  # the fleet's answer times and expected work
         self.gap = SECOND / 2.0  # and its usual silence
         self.started: int | None = None
@@ -107,6 +108,7 @@
                    repeated: bool) -> None:
         self.queries[query] = Query(profile, key, now, due, cost or self.usual[profile])
         self.todo.append(query)
+        self.mean_cost += (self.queries[query].cost - self.mean_cost) * LEARN / 10
         self.arrivals = self.arrivals * exp((self.arrivals_at - now) / (HORIZON / 2)) + 1
         self.arrivals_at = now
         scope = profile if self.charter.cap_by_profile else 0
@@ -351,7 +353,7 @@
         if machine.silent_since is None:
             machine.silent_since = now
         self._room(now, machine)
-        machine.room -= held.cost
+        machine.room -= max(held.cost, self.mean_cost)  # hints are rough, light ones most of all
         if self._on_trial(machine.build):
             self.credit[held.profile if self.charter.cap_by_profile else 0] -= 1
         held.hand_offs.append(HandOff(machine, now, ahead))
