--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -1,19 +1,19 @@
 """Every decision of one front: which machine takes a query, what is given up on, and how to vote on a build.
 
-A host makes one Front a front from its Charter, reports what it sees through the calls (they only take note), then
-calls decide(now) until it answers None. The types and the calls stand in umbermoor/interface.py, the
-records it keeps in umbermoor/records.py, the reasons in docs/design.md. Times are whole microseconds.
+A host makes one Front from its Charter, reports what it sees through the calls (they only take note), then
+calls decide(now) until it answers None. The types and calls stand in umbermoor/interface.py, the records kept
+in umbermoor/records.py, the reasons in docs/design.md. Times are whole microseconds.
 """
 
 import heapq
 import random
-from collections import deque
+from collections import defaultdict, deque
 from math import exp, log, sqrt
 from typing import Sequence
 from zlib import crc32
 
-from umbermoor.interface import (Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase, Repeat,
-                                 Verdict)
+from umbermoor.interface import (Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase,
+                                 Repeat, Verdict)
 from umbermoor.records import Contrast, HandOff, Machine, Query, Score
 
 SECOND = 1_000_000
@@ -32,20 +32,16 @@
 SOUND = 0.985  # and so the mean of those that did not fail, which hardly varies
 CHUNK = 40  # outcomes after a release that are looked at together
 DRAGGED = 1.4  # earlier machines that take this many times as long as before the trial hold up the release
-DRAG_KEEP = 0.97  # what is known of that is kept with each outcome
-HOLD = 10 * SECOND  # a release held up for this long goes back
-LINGER = 8 * SECOND  # lateness after a release tells against the build when it lasts this long
+LINGER = 8 * SECOND  # slowness that lasts this long is no passing trouble: it tells against the build
 RENEW = 0.7  # a vote is cast again after this share of its life
 RETRY_VOTE = SECOND // 3  # after a vote that did not count
 
-# Peers.
+# Peers and machines.
 TALE = b"\x01"  # version of the messages
 GRAIN = 10_000.0  # work that one step in a message stands for
 TELL_EVERY = 20_000  # messages are at least this far apart
 TELL_MOST = 80  # machines a message names
 TRUST = SECOND // 2  # a peer not heard for this long says nothing
-
-# Machines.
 RECENT = 8 * SECOND  # what was seen of a machine loses its weight at this rate while nothing new is seen
 FLEET = 0.98  # what is seen of the whole fleet loses this with each outcome
 LEAN = 2.0  # a machine's pace leans on the fleet's as if that many usual queries had been seen
@@ -79,27 +75,23 @@
         self.arrivals, self.arrivals_at = 0.0, 0
         self.done_work, self.done_at = 0.0, 0
         self.carried = 0.0  # the most work, over time, that one warm machine did for this front
-        self.copies = 1.0
-        self.alarm = 0
+        self.copies, self.alarm, self.watch_failures = 1.0, 0, 0
         self.watch_at: int | None = 0 if charter.list_asked else None
-        self.watch_failures = 0
         self.news: News | None = None
-        self.credit: dict[int, float] = {}  # exposure: hand-offs to the trial that this front may still make
-        self.owed = 0.0  # hand-offs that the trial's share has coming
-        self.share = 0.0
+        self.credit: dict[int, float] = defaultdict(float)  # hand-offs to the trial still free
+        self.owed = self.share = 0.0  # hand-offs that the trial has coming, and its machines' share
         self.peers: dict[int, int] = {}  # when each was last heard
         self.told, self.told_at = b"", 0
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
         self.before, self.calm = Score(), Score()  # outcomes outside trials: until this build came, and since
         self.trial, self.stage = Contrast(), Contrast()  # of the trial's past stages, of the present one
-        self.base, self.drag = list(self.usual), [1.0, 1.0]  # usual answer times before the trial, and since, by sums
+        self.base, self.drag = list(self.usual), [1.0, 1.0]  # answer times before the trial; sums of both
         self.held_since: int | None = None  # since when the last stage is held back
         self.slump = Score()  # the latest outcomes after the release
         self.slump_since: int | None = None  # since when all such outcomes trailed
         self.asked: tuple[int, int, Verdict] | None = None
         self.asked_at = self.vote_after = self.stood_at = 0
-        self.standing: tuple[int, int, Verdict] | None = None
-        self.noted: tuple[int, int, Verdict] | None = None
+        self.standing = self.noted = self.asked
         self.note = ""
 
     # What is reported: only noted.
@@ -111,8 +103,8 @@
         self.mean_cost += (self.queries[query].cost - self.mean_cost) * LEARN / 10
         self.arrivals = self.arrivals * exp((self.arrivals_at - now) / (HORIZON / 2)) + 1
         self.arrivals_at = now
-        scope = profile if self.charter.cap_by_profile else 0
-        self.credit[scope] = min(self.charter.free_hand_offs, self.credit.get(scope, 0.0) + self._cap())
+        scope = self._scope(profile)
+        self.credit[scope] = min(self.charter.free_hand_offs, self.credit[scope] + self._cap())
         self.owed = min(2.0, self.owed + self.share)
         self.copies = min(5.0, self.copies + COPIES)
 
@@ -158,7 +150,8 @@
             else:
                 listed = entry.born if kind is Listing.CACHED else now
                 tag = crc32(entry.machine.encode()).to_bytes(4)[:2]
-                self.machines[entry.machine] = Machine(*entry[:4], entry.readiness == 1, entry.born, listed, tag, now)
+                ready = entry.readiness == 1
+                self.machines[entry.machine] = Machine(*entry[:4], ready, entry.born, listed, tag, now)
         self._reckon_share()
 
     def release_news(self, now: int, news: News) -> None:
@@ -184,7 +177,7 @@
             self.stage, self.slump, self.slump_since = Contrast(), Score(), None
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
-        if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN) or old is None or news.build != old.build:
+        if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN) or not old or news.build != old.build:
             self.answered.clear()
         self.news = news
         self._reckon_share()
@@ -193,7 +186,7 @@
         """Not used: a front's own outcomes are as many, and sooner."""
 
     def complaint(self, now: int, machine: str, profile: int, age: int) -> None:
-        """Threat: wrong answers look done. One that is told stands for those that are not; a false one does too."""
+        """Threat: wrong answers look done. One told stands for those that are not; a false one does too."""
         known = self.machines.get(machine)
         if known and self.charter.complaint_share and now - age - known.listed >= FRESH:
             score = self._side(known.build)
@@ -228,8 +221,8 @@
             self.took, self.work = self.took * FLEET + took, self.work * FLEET + hand_off.ahead
         if ending is Ending.OK:
             if self.news and machine.build < self.news.build:
-                base = self.base[held.profile] or took
-                self.drag = [self.drag[0] * DRAG_KEEP + took, self.drag[1] * DRAG_KEEP + base]
+                now_took, then = self.drag
+                self.drag = [now_took * FLEET + took, then * FLEET + self.base[held.profile]]
             self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
             self.done_work = self.done_work * exp((self.done_at - now) / DONE_IN) + held.cost
             self.done_at = now
@@ -249,7 +242,7 @@
         if (machine.build in held.scored or ending is Ending.MOOT or hand_off.sent - machine.listed < FRESH
                 or ending in (Ending.CANCELLED, Ending.TIMEOUT) and took < target - 2 * EARLY):
             return
-        held.scored.add(machine.build)  # retries of one failure are no further evidence: one score a query and build
+        held.scored.add(machine.build)  # retries of one failure are no evidence: one score a query and build
         good = ending is Ending.OK and took <= target
         self._side(machine.build).add(good, ending is not Ending.ERROR)
         self._calm(now, good, ending is not Ending.ERROR)
@@ -260,13 +253,13 @@
         return self.stage.new if self.news and build >= self.news.build else self.stage.earlier
 
     def _calm(self, now: int, good: bool, sound: bool) -> None:
-        """Outside trials all counts, also what is given up on: denials keep the rest in time and hide a slowdown."""
+        """Outside trials what is given up on counts: denials keep the rest in time and hide a slowdown."""
         if self.news is None or self.news.phase is Phase.TRIAL:
             return
         self.calm.add(good, sound)
         self.slump.add(good, sound)
         if self.slump.n >= CHUNK:
-            trails = self._trails(self.slump.mean(), self.slump.n, self.before.mean() if self.before.n else 0.0)
+            trails = self._trails(self.slump.mean(), self.slump.n, self.before.mean())
             self.slump, self.slump_since = Score(), (self.slump_since or now) if trails else None
 
     def _control(self) -> Score:
@@ -329,10 +322,8 @@
         out = any(hand_off.ending is None for hand_off in held.hand_offs)
         if out and (not held.copy_at or now < held.copy_at or self.copies < 1):
             return None
-        machine = self._choose(now, held, end - now) if now < end else None
-        if machine:
-            if out:
-                self.copies -= 1
+        if now < end and (machine := self._choose(now, held, end - now)):
+            self.copies -= out
             return self._send(now, query, held, machine, end)
         return None if out else self._give_up(now, query, held)
 
@@ -355,7 +346,7 @@
         self._room(now, machine)
         machine.room -= max(held.cost, self.mean_cost)  # hints are rough, light ones most of all
         if self._on_trial(machine.build):
-            self.credit[held.profile if self.charter.cap_by_profile else 0] -= 1
+            self.credit[self._scope(held.profile)] -= 1
         held.hand_offs.append(HandOff(machine, now, ahead))
         held.copy_at = 0
         if self.charter.may_copy and self.charter.profiles[held.profile].repeat is not Repeat.BINDING:
@@ -367,15 +358,13 @@
     def _may(self, now: int, held: Query, machine: Machine) -> bool:
         """The one gate of the rules: whether this query may be handed to this machine now."""
         charter, profile, hand_offs = self.charter, self.charter.profiles[held.profile], held.hand_offs
-        if held.ended or now >= held.due or len(hand_offs) >= charter.most_hand_offs:
-            return False
-        if not machine.ready:  # drains: none of the grace is used
+        if (held.ended or now >= held.due or len(hand_offs) >= charter.most_hand_offs
+                or not machine.ready):  # drains: none of the grace is used
             return False
         if hand_offs:
-            if not charter.may_copy and hand_offs[-1].ending is None:
-                return False
             ran = held.ran
-            if ran and profile.repeat is Repeat.BINDING:
+            alone = charter.may_copy or hand_offs[-1].ending is not None
+            if ran and profile.repeat is Repeat.BINDING or not alone:
                 return False
             if ran and profile.repeat is Repeat.FINGERPRINTED and (
                     now - ran.sent >= profile.window
@@ -387,10 +376,9 @@
             announced = news is not None and machine.build == news.build
             if news and (announced and news.cap <= 0 or not announced and news.phase in MOVING):
                 return False  # on its way back a build may still take what its falling cap lets it
-            stage = news.stage if announced else 0
-            if stage < charter.guarded_stages and profile.repeat is not Repeat.RETRIABLE:
-                return False
-            if self.credit.get(held.profile if charter.cap_by_profile else 0, 0.0) < 1:
+            guarded = (news.stage if announced else 0) < charter.guarded_stages
+            fit = profile.repeat is Repeat.RETRIABLE or not guarded
+            if not fit or self.credit[self._scope(held.profile)] < 1:
                 return False
         elif held.key in self.answered and machine.build < self.news.build:
             return False
@@ -409,14 +397,14 @@
             pool = trial
         pool = [machine for machine in pool if machine.id not in tried] or pool
         nearest = min(pool, key=lambda machine: self._distance(now, held, machine), default=None)
-        # Threat: a jam that feeds itself, as late answers bring clients' retries. Also holds against bursts, slow or
-        # lost machines. May harm where pace is high for another cause than waiting.
+        # Threat: a jam that feeds itself, as late answers bring retries. Also holds against bursts and lost
+        # machines. May harm where pace is high for another cause than waiting.
         if nearest and self._paced(now, nearest) * self._load(now, nearest) > left * CROWD:
             return None
         return nearest
 
     def _distance(self, now: int, held: Query, machine: Machine) -> float:
-        """The time this query may take there, longer the more unusual the machine's silence and failures are."""
+        """The time this query may take there; longer, the more unusual the machine's silence and failures."""
         time = self._paced(now, machine) * (held.cost + self._load(now, machine))
         if machine.silent_since is not None:
             phi = (now - machine.silent_since) / max(machine.gap, self.gap) / log(10)
@@ -426,11 +414,12 @@
         return time / self._warmth(now, machine) * (1 + weight * fails) * (1 + 0.1 * self.random())
 
     def _load(self, now: int, machine: Machine) -> float:
-        """Open work there: this front's and what peers told of late. Threat: each front sees only its own part."""
-        return machine.load + sum(load for peer, load in machine.others.items() if now < self.peers[peer] + TRUST)
+        """Open work there, this front's and what peers told. Threat: each front sees only its own part."""
+        return machine.load + sum(load for peer, load in machine.others.items()
+                                  if now < self.peers[peer] + TRUST)
 
     def _paced(self, now: int, machine: Machine) -> float:
-        """Answer time over the work ahead: the machine's own, leaning on the fleet's where little was seen of late."""
+        """Answer time over the work ahead: the machine's own, leaning on the fleet's at first."""
         fade, lean = exp((machine.seen - now) / RECENT), LEAN * self.usual[0]
         return (machine.took * fade + lean * self.took / self.work) / (machine.work * fade + lean)
 
@@ -442,9 +431,9 @@
         return self.charter.cold_from + (1 - self.charter.cold_from) * min(1.0, max(0.0, grown))
 
     def _room(self, now: int, machine: Machine) -> float:
-        """Work that a cold machine may still be sent: a part of the most that others were seen to do for this front."""
+        """Work that a cold machine may still be sent: a part of the most that others did for this front."""
         warm = sum(1 for other in self.machines.values() if self._warmth(now, other) >= 1)
-        if 2 * warm >= len(self.machines):  # where most are cold, the work was done by machines that have left
+        if 2 * warm >= len(self.machines):  # else the work was done by machines that have left
             done = self.done_work * exp((self.done_at - now) / DONE_IN) / DONE_IN / max(1, warm)
             self.carried = max(self.carried, done)
         rate = self.carried * COLD_PART * self.charter.fall_multiple * self._warmth(now, machine)
@@ -459,6 +448,9 @@
             return any(build > machine.build for machine in self.machines.values())
         return build > self.news.build or build == self.news.build and self.news.phase is not Phase.RELEASED
 
+    def _scope(self, profile: int) -> int:
+        return profile if self.charter.cap_by_profile else 0
+
     def _cap(self) -> float:
         return self.news.cap if self.news and self.news.phase in MOVING else self.charter.stage_caps[0]
 
@@ -471,22 +463,21 @@
         if (news is None or news.phase not in (Phase.TRIAL, Phase.RELEASED) or now < self.vote_after
                 or self.asked and now < self.asked_at + self.charter.vote_wait):
             return None
-        verdict = self._verdict(now, news)
-        if verdict is None:
+        if (verdict := self._verdict(now, news)) is None:
             return None
         vote = (news.build, news.stage, verdict)
         if vote == self.standing and now < self.stood_at + RENEW * self.charter.vote_life:
             return None
         if vote != self.noted:
-            self.noted, self.note = vote, f"{news}: votes {verdict.name}; stage {self.stage}; {self._since_trial()}"
+            self.noted, self.note = vote, f"votes {verdict.name}: {news}; {self.stage}; {self._since_trial()}"
         self.asked, self.asked_at = vote, now
         return (Do.VOTE, *vote)
 
     def _verdict(self, now: int, news: News) -> Verdict | None:
         """Test & Roll: judged at n*, or short of it once the stage has had its time."""
-        # Threat: after a release there is no contrast, and a slowdown of everything, a burst or cold machines look like
-        # a bad build. From then on only failures count, and lateness that lasts longer than such troubles do (a build
-        # that slows every machine, or turns slow). May harm when one of them lasts longer still.
+        # Threat: after a release there is no contrast; a slowdown of all, a burst or cold machines look like a
+        # bad build. Then only failures count, and lateness that outlasts such troubles (a build that slows all,
+        # or turns slow). May harm when one of them lasts longer still.
         released, timed = news.phase is Phase.RELEASED, self.charter.control is Control.TIMER
         if released and self.slump_since is not None and now - self.slump_since >= LINGER:
             return Verdict.BACK
@@ -512,20 +503,20 @@
         return Verdict.HOLD if timed and trails else None
 
     def _unless_dragged(self, now: int, ahead: Verdict | None) -> Verdict | None:
-        """Threat: a build that slows every machine in step with its traffic. Before it gets all of it, the earlier
-        machines must answer about as fast as before the trial. Also holds up good builds in a slowdown or a burst,
-        until it ends; may send one back that meets a longer one."""
+        """Threat: a build that slows every machine in step with its traffic. Before it gets all, the earlier
+        machines must answer about as fast as before the trial. Also holds up good builds in a slowdown or a
+        burst, until it ends; may send one back that meets a longer one."""
         slow = self.drag[0] > DRAGGED * self.drag[1]
         self.held_since = (self.held_since or now) if slow else None
         if not slow or ahead is None:
             return ahead
-        return Verdict.BACK if now - self.held_since >= HOLD else None
+        return Verdict.BACK if now - self.held_since >= LINGER else None
 
     def _trails(self, new: float, n: float, earlier: float, sure: float = SURE) -> bool:
-        """Whether the posterior mean of the new build lies under the earlier one's by more than the margin."""
+        """Whether the new build's posterior mean lies under the earlier mean by more than the margin."""
         mu, s = _clipped(earlier, sure)
         b = SIGMA ** 2 / (SIGMA ** 2 + s * s / n)
-        # Threat: where one vote decides, one front's freak draw does; it is looked at again with every outcome.
+        # Threat: where one vote decides, one front's freak draw does, as it is looked at with every outcome.
         width = LONE if self.charter.votes_back <= 1 else 2
         return mu - ((1 - b) * mu + b * new) > MARGIN + width * s / sqrt(n)
 
