--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -40,7 +40,7 @@
 TALE = b"\x01"  # version of the messages
 GRAIN = 10_000.0  # work that one step in a message stands for
 TELL_EVERY = 20_000  # messages are at least this far apart
-TELL_MOST = 80  # machines a message names
+TELL_MOST = 75  # machines a message names
 TRUST = SECOND // 2  # a peer not heard for this long says nothing
 RECENT = 8 * SECOND  # what was seen of a machine loses its weight at this rate while nothing new is seen
 FLEET = 0.98  # what is seen of the whole fleet loses this with each outcome
@@ -80,7 +80,7 @@
         self.news: News | None = None
         self.credit: dict[int, float] = defaultdict(float)  # hand-offs to the trial still free
         self.owed = self.share = 0.0  # hand-offs that the trial has coming, and its machines' share
-        self.peers: dict[int, int] = {}  # when each was last heard
+        self.peers: dict[int, tuple[int, float, float]] = {}  # when each was last heard, and its drag
         self.told, self.told_at = b"", 0
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
         self.before, self.calm = Score(), Score()  # outcomes outside trials: until this build came, and since
@@ -197,11 +197,11 @@
         """Not used: probes have not paid their price."""
 
     def peer_told(self, now: int, peer: int, payload: bytes) -> None:
-        """A peer's open work by machine. What is garbled or of another version says nothing."""
-        if payload[:1] != TALE or len(payload) % 3 != 1:
+        """A peer's drag and open work by machine. What is garbled or of another version says nothing."""
+        if payload[:1] != TALE or len(payload) % 3 != 2 or not 0 <= peer < self.charter.fronts:
             return
-        told = {payload[at:at + 2]: payload[at + 2] * GRAIN for at in range(1, len(payload), 3)}
-        self.peers[peer] = now
+        told = {payload[at:at + 2]: payload[at + 2] * GRAIN for at in range(5, len(payload), 3)}
+        self.peers[peer] = (now, *(int.from_bytes(payload[at:at + 2]) * GRAIN for at in (1, 3)))
         for machine in self.machines.values():
             machine.others[peer] = told.get(machine.tag, 0.0)
 
@@ -305,7 +305,8 @@
             return vote
         if self.charter.may_tell and self.charter.fronts > 1 and now >= self.told_at + TELL_EVERY:
             busy = [machine for machine in self.machines.values() if machine.open][:TELL_MOST]
-            payload = TALE + b"".join(one.tag + bytes([min(255, round(one.load / GRAIN))]) for one in busy)
+            payload = TALE + b"".join(min(65535, round(drag / GRAIN)).to_bytes(2) for drag in self.drag)
+            payload += b"".join(one.tag + bytes([min(255, round(one.load / GRAIN))]) for one in busy)
             if payload != self.told or now >= self.told_at + TRUST / 2:
                 self.told, self.told_at = payload, now
                 return (Do.TELL, payload)
@@ -416,7 +417,7 @@
     def _load(self, now: int, machine: Machine) -> float:
         """Open work there, this front's and what peers told. Threat: each front sees only its own part."""
         return machine.load + sum(load for peer, load in machine.others.items()
-                                  if now < self.peers[peer] + TRUST)
+                                  if now < self.peers[peer][0] + TRUST)
 
     def _paced(self, now: int, machine: Machine) -> float:
         """Answer time over the work ahead: the machine's own, leaning on the fleet's at first."""
@@ -506,7 +507,9 @@
         """Threat: a build that slows every machine in step with its traffic. Before it gets all, the earlier
         machines must answer about as fast as before the trial. Also holds up good builds in a slowdown or a
         burst, until it ends; may send one back that meets a longer one."""
-        slow = self.drag[0] > DRAGGED * self.drag[1]
+        told = [drag for heard, *drag in self.peers.values() if now < heard + TRUST]
+        took, base = map(sum, zip(self.drag, *told))  # light fronts know too little by themselves
+        slow = took > DRAGGED * base
         self.held_since = (self.held_since or now) if slow else None
         if not slow or ahead is None:
             return ahead
