--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -18,6 +18,7 @@
 
 SECOND = 1_000_000
 MOVING = (Phase.TRIAL, Phase.GOING_BACK)
+ORDER = {Phase.TRIAL: 0, Phase.RELEASED: 1, Phase.GOING_BACK: 2, Phase.WITHDRAWN: 3}
 
 # The vote (Test & Roll).
 SIGMA = 0.05  # how far apart the true means of two builds are expected to lie
@@ -67,7 +68,8 @@
         self.todo: deque[str] = deque()
         self.later: list[tuple[int, str]] = []
         self.cancels: deque[tuple[str, int]] = deque()
-        self.usual = [row.target / 5 for row in charter.profiles]  # expected work where no hint comes
+        self.usual = [row.target / 5 for row in charter.profiles]  # answer times, expected work where no hint comes
+        self.met = [1 for _ in charter.profiles]  # how many were seen
         self.mean_cost = max(self.usual, default=0.0)
         self.took = self.work = 1.0 * SECOND  # the fleet's answer times and expected work
         self.gap = SECOND / 2.0  # and its usual silence
@@ -164,7 +166,7 @@
             if news.ending is not Ending.OK:
                 return
         old = self.news
-        if old and _place(news) < _place(old):
+        if old and (news.build, ORDER[news.phase], news.stage) < (old.build, ORDER[old.phase], old.stage):
             if news.build == old.build:  # stale, but a cap once told binds
                 self.news = old._replace(cap=min(old.cap, news.cap))
             return
@@ -223,7 +225,8 @@
             if self.news and machine.build < self.news.build:
                 now_took, then = self.drag
                 self.drag = [now_took * FLEET + took, then * FLEET + self.base[held.profile]]
-            self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
+            self.met[held.profile] += 1
+            self.usual[held.profile] += (took - self.usual[held.profile]) * max(LEARN / 8, 1 / self.met[held.profile])
             self.done_work = self.done_work * exp((self.done_at - now) / DONE_IN) + held.cost
             self.done_at = now
         if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
@@ -524,12 +527,6 @@
         return mu - ((1 - b) * mu + b * new) > MARGIN + width * s / sqrt(n)
 
 
-def _place(news: News) -> tuple[int, int, int]:
-    """News is stale when it names an earlier place than is known."""
-    order = (Phase.TRIAL, Phase.RELEASED, Phase.GOING_BACK, Phase.WITHDRAWN)
-    return (news.build, order.index(news.phase), news.stage)
-
-
 def _clipped(mean: float, sure: float = SURE) -> tuple[float, float]:
     mu = min(mean, sure)
     return mu, sqrt(mu * (1 - mu))
