--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -68,8 +68,7 @@
         self.todo: deque[str] = deque()
         self.later: list[tuple[int, str]] = []
         self.cancels: deque[tuple[str, int]] = deque()
-        self.usual = [row.target / 5 for row in charter.profiles]  # answer times, expected work where no hint comes
-        self.met = [1 for _ in charter.profiles]  # how many were seen
+        self.usual = [row.target / 5 for row in charter.profiles]  # expected work where no hint comes
         self.mean_cost = max(self.usual, default=0.0)
         self.took = self.work = 1.0 * SECOND  # the fleet's answer times and expected work
         self.gap = SECOND / 2.0  # and its usual silence
@@ -225,8 +224,7 @@
             if self.news and machine.build < self.news.build:
                 now_took, then = self.drag
                 self.drag = [now_took * FLEET + took, then * FLEET + self.base[held.profile]]
-            self.met[held.profile] += 1
-            self.usual[held.profile] += (took - self.usual[held.profile]) * max(LEARN / 8, 1 / self.met[held.profile])
+            self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
             self.done_work = self.done_work * exp((self.done_at - now) / DONE_IN) + held.cost
             self.done_at = now
         if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
@@ -287,8 +285,7 @@
     # What is decided, one at a time.
 
     def decide(self, now: int) -> Decision | None:
-        if self.started is None:
-            self.started = now
+        self.started = now if self.started is None else self.started
         if self.watch_at is not None and now >= self.watch_at:
             self.watch_at = None
             return (Do.WATCH,)
@@ -427,8 +424,6 @@
         fade, lean = exp((machine.seen - now) / RECENT), LEAN * self.usual[0]
         return (machine.took * fade + lean * self.took / self.work) / (machine.work * fade + lean)
 
-    # Cold machines.
-
     def _warmth(self, now: int, machine: Machine) -> float:
         """The part of its capacity that the machine has by now at the least; 1 when it is warm."""
         grown = (now - machine.born) / max(1, self.charter.warm_within) if machine.born else 1.0
@@ -467,7 +462,9 @@
         if (news is None or news.phase not in (Phase.TRIAL, Phase.RELEASED) or now < self.vote_after
                 or self.asked and now < self.asked_at + self.charter.vote_wait):
             return None
-        if (verdict := self._verdict(now, news)) is None:
+        lapsed = Verdict.NONE if self.standing == (news.build, news.stage, Verdict.ON) else None
+        verdict = self._verdict(now, news) or lapsed  # a vote on that no longer holds is taken back
+        if verdict is None:
             return None
         vote = (news.build, news.stage, verdict)
         if vote == self.standing and now < self.stood_at + RENEW * self.charter.vote_life:
@@ -479,9 +476,9 @@
 
     def _verdict(self, now: int, news: News) -> Verdict | None:
         """Test & Roll: judged at n*, or short of it once the stage has had its time."""
-        # Threat: after a release there is no contrast; a slowdown of all, a burst or cold machines look like a
-        # bad build. Then only failures count, and lateness that outlasts such troubles (a build that slows all,
-        # or turns slow). May harm when one of them lasts longer still.
+        # Threat: after a release there is no contrast; a slowdown of all, a burst or cold machines look like
+        # a bad build. Then only failures count, and lateness that outlasts such troubles (a build that slows
+        # all). May harm when one of them lasts longer still.
         released, timed = news.phase is Phase.RELEASED, self.charter.control is Control.TIMER
         if released and self.slump_since is not None and now - self.slump_since >= LINGER:
             return Verdict.BACK
