--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -33,7 +33,8 @@
 SOUND = 0.985  # and so the mean of those that did not fail, which hardly varies
 CHUNK = 40  # outcomes after a release that are looked at together
 DRAGGED = 1.4  # earlier machines that take this many times as long as before the trial hold up the release
-LINGER = 8 * SECOND  # slowness that lasts this long is no passing trouble: it tells against the build
+LINGER = 14 * SECOND  # lateness after a release that lasts this long is no passing trouble
+HOLD = 8 * SECOND  # a release held up for this long goes back
 RENEW = 0.7  # a vote is cast again after this share of its life
 RETRY_VOTE = SECOND // 3  # after a vote that did not count
 
@@ -513,7 +514,7 @@
         self.held_since = (self.held_since or now) if slow else None
         if not slow or ahead is None:
             return ahead
-        return Verdict.BACK if now - self.held_since >= LINGER else None
+        return Verdict.BACK if now - self.held_since >= HOLD else None
 
     def _trails(self, new: float, n: float, earlier: float, sure: float = SURE) -> bool:
         """Whether the new build's posterior mean lies under the earlier mean by more than the margin."""
