--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -179,7 +179,7 @@
             self.stage, self.slump, self.slump_since = Contrast(), Score(), None
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
-        if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN) or not old or news.build != old.build:
+        if news.phase not in (Phase.TRIAL, Phase.RELEASED) or not old or news.build != old.build:
             self.answered.clear()
         self.news = news
         self._reckon_share()
@@ -190,10 +190,11 @@
     def complaint(self, now: int, machine: str, profile: int, age: int) -> None:
         """Threat: wrong answers look done. One told stands for those that are not; a false one does too."""
         known = self.machines.get(machine)
-        if known and self.charter.complaint_share and now - age - known.listed >= FRESH:
+        if known and self.news and self.charter.complaint_share and now - age - known.listed >= FRESH:
             score = self._side(known.build)
-            score.good = max(0.0, score.good - 1 / self.charter.complaint_share)
-            score.sound = max(0.0, score.sound - 1)
+            stands_for = 1 / self.charter.complaint_share
+            score.good -= stands_for
+            score.sound -= stands_for if self.news.phase is Phase.TRIAL else 1
 
     def probe_ended(self, now: int, machine: str, ending: Ending, load: Sequence[float] | None) -> None:
         """Not used: probes have not paid their price."""
@@ -322,7 +323,7 @@
         profile = self.charter.profiles[held.profile]
         end = held.due if profile.late_value else min(held.due, held.came + profile.target - EARLY)
         out = any(hand_off.ending is None for hand_off in held.hand_offs)
-        if out and (not held.copy_at or now < held.copy_at or self.copies < 1):
+        if out and not (held.copy_at and now >= held.copy_at and self.copies >= 1):
             return None
         if now < end and (machine := self._choose(now, held, end - now)):
             self.copies -= out
@@ -343,8 +344,7 @@
         ahead = held.cost + self._load(now, machine)
         machine.open += 1
         machine.load += held.cost
-        if machine.silent_since is None:
-            machine.silent_since = now
+        machine.silent_since = now if machine.silent_since is None else machine.silent_since
         self._room(now, machine)
         machine.room -= max(held.cost, self.mean_cost)  # hints are rough, light ones most of all
         if self._on_trial(machine.build):
