--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -526,5 +526,5 @@
 
 
 def _clipped(mean: float, sure: float = SURE) -> tuple[float, float]:
-    mu = min(mean, sure)
+    mu = min(max(mean, 0.0), sure)  # complaints may outweigh what was good
     return mu, sqrt(mu * (1 - mu))
