--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -80,6 +80,9 @@
                 name, build, state, born, cell = (item.split(":") + ["ready", "0", "0"][item.count(":") - 1:])[:5]
                 entries.append(Entry(name, int(build), 0, int(cell), Readiness[state.upper()], 1.0, int(born) * MS))
             front.list_news(now, kind, entries)
+        elif verb == "steady":  # a list of machines whose build is released
+            self.tell(now, "list", list(rest))
+            self.tell(now, "news", [rest[0].split(":")[1], "0", "released", "1"])
         elif verb == "news":  # news build stage phase cap [vote's ending]
             answered = len(rest) > 4
             front.release_news(now, News(int(rest[0]), int(rest[1]), Phase[rest[2].upper()], float(rest[3]), 0,
