--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -77,7 +77,7 @@
         self.arrivals, self.arrivals_at = 0.0, 0
         self.done_work, self.done_at = 0.0, 0
         self.carried = 0.0  # the most work, over time, that one warm machine did for this front
-        self.copies, self.alarm, self.watch_failures = 1.0, 0, 0
+        self.copies, self.alarm, self.watch_failures, self.complaints = 1.0, 0, 0, 0
         self.watch_at: int | None = 0 if charter.list_asked else None
         self.news: News | None = None
         self.credit: dict[int, float] = defaultdict(float)  # hand-offs to the trial still free
@@ -138,8 +138,7 @@
             wait = min(8, 2 ** self.watch_failures / 2) * SECOND
             self.watch_at = now + round(wait * (0.5 + self.random()))
             return
-        if kind is not Listing.CACHED:
-            self.watch_failures = 0
+        self.watch_failures *= kind is Listing.CACHED
         if kind is not Listing.CHANGES:
             named = {entry.machine for entry in entries}
             self.machines = {id: machine for id, machine in self.machines.items() if id in named}
@@ -176,7 +175,7 @@
             self.trial, self.stage = Contrast(), Contrast()
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
             self.trial = self._since_trial()
-            self.stage, self.slump, self.slump_since = Contrast(), Score(), None
+            self.stage, self.slump, self.slump_since, self.complaints = Contrast(), Score(), None, 0
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
         if news.phase not in (Phase.TRIAL, Phase.RELEASED) or not old or news.build != old.build:
@@ -192,9 +191,10 @@
         known = self.machines.get(machine)
         if known and self.news and self.charter.complaint_share and now - age - known.listed >= FRESH:
             score = self._side(known.build)
-            stands_for = 1 / self.charter.complaint_share
-            score.good -= stands_for
-            score.sound -= stands_for if self.news.phase is Phase.TRIAL else 1
+            self.complaints += known.build >= self.news.build  # the first may be false: no lone vote on it
+            alone = self.complaints < 2 and self.charter.votes_back < 2 or self.news.phase is not Phase.TRIAL
+            weight = 1.0 if alone else 1 / self.charter.complaint_share
+            score.good, score.sound = score.good - weight, score.sound - weight
 
     def probe_ended(self, now: int, machine: str, ending: Ending, load: Sequence[float] | None) -> None:
         """Not used: probes have not paid their price."""
@@ -520,7 +520,7 @@
         """Whether the new build's posterior mean lies under the earlier mean by more than the margin."""
         mu, s = _clipped(earlier, sure)
         b = SIGMA ** 2 / (SIGMA ** 2 + s * s / n)
-        # Threat: where one vote decides, one front's freak draw does, as it is looked at with every outcome.
+        # Threat: where one vote decides, one front's freak draw does, looked at with every outcome.
         width = LONE if self.charter.votes_back <= 1 else 2
         return mu - ((1 - b) * mu + b * new) > MARGIN + width * s / sqrt(n)
 
