--- /dev/null
+++ b/umbermoor/__main__.py
@@ -0,0 +1,51 @@
+"""umbermoor: a front that routes queries and votes on staged releases.
+
+Usage:
+  umbermoor serve [--config FILE] [--log LEVEL]
+  umbermoor check [--config FILE]
+  umbermoor version
+  umbermoor (-h | --help)
+
+Commands:
+  serve    serve queries until SIGTERM
+  check    read the configuration, and say what it holds or which key is at fault
+  version  print the version
+
+Options:
+  --config FILE  the configuration, in place of the one that LB_CONFIG names
+  --log LEVEL    DEBUG, INFO, WARNING or ERROR [default: INFO]
+"""
+
+import os
+import sys
+
+from docopt import docopt
+
+from umbermoor import VERSION
+from umbermoor.logs import start_log
+from umbermoor.station import Misplaced, read_station
+
+
+def main(words: list[str]) -> int:
+    given = docopt(__doc__, words)
+    if given["version"]:
+        print(f"umbermoor {VERSION}")
+        return 0
+    try:
+        station = read_station(os.environ, given["--config"])
+        if given["--log"] not in ("DEBUG", "INFO", "WARNING", "ERROR"):
+            raise Misplaced(f"--log: no such level: {given['--log']}")
+    except Misplaced as fault:
+        print(f"umbermoor: {fault}", file=sys.stderr)
+        return 2
+    if given["check"]:
+        print(f"{station.name}: listens at {':'.join(map(str, station.listen))}, "
+              f"{len(station.profiles)} profiles, {station.charter.fronts} fronts, {station.sockets} sockets")
+        return 0
+    from umbermoor.node.service import serve  # only here: the others need no reactor
+    start_log(given["--log"])
+    return serve(station)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/umbermoor/http1/reader.py
@@ -0,0 +1,225 @@
+"""Cuts requests or responses out of the bytes of a connection. What is wrong with them is a value, never raised."""
+
+import re
+from enum import Enum, auto
+from typing import NamedTuple
+
+from umbermoor.http1.buffers import BODY_MOST, HEAD_MOST, SIZE, Buffers
+
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_REQUEST = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+) ([!-~]+) HTTP/1\.([01])")
+_RESPONSE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n]*)?")
+_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?")
+
+
+class Fault(NamedTuple):
+    """The stream cannot be read on from here."""
+
+    status: int  # what a server answers to it
+    text: str
+
+
+class Request(NamedTuple):
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    keep: bool  # the connection may carry another
+
+
+class Response(NamedTuple):
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    keep: bool
+
+
+class Piece(NamedTuple):
+    """Part of the body of a response that is read as it comes."""
+
+    data: bytes
+
+
+class _Body(Enum):
+    LENGTH = auto()
+    CHUNKED = auto()
+    UNTIL_CLOSE = auto()
+
+
+Read = Request | Response | Piece | Fault
+
+
+class Reader:
+    """Holds a buffer only while a message is partly read."""
+
+    def __init__(self, buffers: Buffers, responses: bool = False, as_pieces: bool = False) -> None:
+        self._buffers, self._responses, self._as_pieces = buffers, responses, as_pieces
+        self._buffer: bytearray | None = None
+        self._filled = self._at = 0  # bytes held; those of them that are understood
+        self._dead = False
+        self._clear()
+
+    def _clear(self) -> None:
+        self._head: tuple | None = None
+        self._framing, self._length, self._trailers = _Body.LENGTH, 0, False
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    @property
+    def midway(self) -> bool:
+        return self._head is not None or self._filled > 0
+
+    def feed(self, data: bytes) -> list[Read]:
+        found: list[Read] = []
+        rest = memoryview(data)
+        while rest and not self._dead:
+            if self._buffer is None:
+                self._buffer = self._buffers.take()
+            part = rest[:SIZE - self._filled]
+            self._buffer[self._filled:self._filled + len(part)] = part
+            self._filled += len(part)
+            rest = rest[len(part):]
+            fault = self._parse(found)
+            if fault is None and self._filled == SIZE:
+                fault = Fault(413, "message too large")
+            if fault is not None:
+                found.append(fault)
+                self._dead = True
+        if self._buffer is not None and (self._dead or not self._filled):
+            self.drop()
+        return found
+
+    def end(self) -> Read | None:
+        """The stream has ended: a message that it completes, or cuts short."""
+        if self._head is not None and self._framing is _Body.UNTIL_CLOSE and not self._as_pieces:
+            return self._message(bytes(self._buffer[:self._filled]) if self._buffer else b"")
+        return Fault(400, "cut short") if self.midway and not self._dead else None
+
+    def drop(self) -> None:
+        """Gives the buffer back; for when the connection is gone too."""
+        if self._buffer is not None:
+            self._buffers.give(self._buffer)
+            self._buffer, self._filled, self._at = None, 0, 0
+
+    def _parse(self, found: list[Read]) -> Fault | None:
+        while self._filled or self._head is not None:
+            if self._head is None:
+                fault = self._read_head()
+                if fault is not None or self._head is None:
+                    return fault
+            body = self._read_body(found)
+            if not isinstance(body, bytes):
+                return body
+            message = self._message(body)
+            if isinstance(message, Response) and message.status < 200:
+                continue  # an interim answer
+            found.append(message)
+        return None
+
+    def _consume(self, count: int) -> None:
+        rest = self._filled - count
+        if rest:
+            self._buffer[:rest] = self._buffer[count:self._filled]
+        self._filled, self._at = rest, 0
+
+    def _message(self, body: bytes) -> Read:
+        first, headers, keep = self._head
+        keep = keep and self._framing is not _Body.UNTIL_CLOSE
+        self._clear()
+        return Response(first, headers, body, keep) if self._responses else Request(*first, headers, body, keep)
+
+    def _read_head(self) -> Fault | None:
+        if not self._responses:
+            while self._filled >= 2 and self._buffer[:2] == b"\r\n":  # an empty line before a request is allowed
+                self._consume(2)
+        end = self._buffer.find(b"\r\n\r\n", 0, min(self._filled, HEAD_MOST))
+        if end < 0:
+            return Fault(431, "head too large") if self._filled >= HEAD_MOST else None
+        first, *lines = self._buffer[:end].decode("latin-1").split("\r\n")
+        line = (_RESPONSE if self._responses else _REQUEST).fullmatch(first)
+        if line is None:
+            return Fault(400, "no such first line")
+        headers: dict[str, str] = {}
+        for text in lines:
+            name, colon, value = text.partition(":")
+            if not colon or not _TOKEN.fullmatch(name) or "\n" in value or "\r" in value or "\0" in value:
+                return Fault(400, "garbled header")
+            name, value = name.lower(), value.strip(" \t")
+            if name == "content-length" and headers.get(name, value) != value:
+                return Fault(400, "two lengths")
+            headers[name] = value if name not in headers or name == "content-length" else f"{headers[name]}, {value}"
+        fault = self._frame(headers, int(line[2]) if self._responses else 0)
+        if fault is not None:
+            return fault
+        asked = headers.get("connection", "").lower()
+        minor = line[1] if self._responses else line[3]
+        keep = "close" not in asked and (minor == "1" or "keep-alive" in asked)
+        self._head = (int(line[2]) if self._responses else (line[1], line[2]), headers, keep)
+        self._consume(end + 4)
+        return None
+
+    def _frame(self, headers: dict[str, str], status: int) -> Fault | None:
+        length, coding = headers.get("content-length"), headers.get("transfer-encoding")
+        if length is not None and coding is not None:
+            return Fault(400, "both length and transfer coding")
+        if coding is not None and coding.lower() != "chunked":
+            return Fault(501, "unknown transfer coding")
+        if length is not None and not (length.isascii() and length.isdigit()):
+            return Fault(400, "garbled length")
+        if length is not None and (len(length) > 9 or int(length) > BODY_MOST):
+            return Fault(413, "body too large")
+        bodiless = not self._responses or status < 200 or status in (204, 304)
+        self._length = int(length or 0) if not self._responses or not bodiless else 0
+        if coding is not None and not (self._responses and bodiless):
+            self._framing = _Body.CHUNKED
+        elif length is None and not bodiless:
+            self._framing = _Body.UNTIL_CLOSE
+        return None
+
+    def _read_body(self, found: list[Read]) -> bytes | Fault | None:
+        if self._framing is _Body.CHUNKED:
+            return self._read_chunks(found)
+        if self._framing is _Body.UNTIL_CLOSE:
+            if self._as_pieces and self._filled:
+                found.append(Piece(bytes(self._buffer[:self._filled])))
+                self._consume(self._filled)
+            return Fault(413, "body too large") if self._filled > BODY_MOST else None
+        if self._filled < self._length:
+            return None
+        body = bytes(self._buffer[:self._length]) if self._length else b""
+        if self._length:
+            self._consume(self._length)
+        return body
+
+    def _read_chunks(self, found: list[Read]) -> bytes | Fault | None:
+        while True:
+            end = self._buffer.find(b"\r\n", self._at, self._filled) if self._buffer is not None else -1
+            if end < 0:
+                return Fault(400, "garbled chunk") if self._filled - self._at > 1024 else None
+            if self._trailers:  # passed over, up to an empty line
+                last = end == self._at
+                self._at = end + 2
+                if last:
+                    self._consume(self._at)
+                    return b"".join(self._chunks)
+                continue
+            size = _SIZE.fullmatch(self._buffer[self._at:end])
+            if size is None:
+                return Fault(400, "garbled chunk")
+            count = int(size[1], 16)
+            if self._size + count > BODY_MOST:
+                return Fault(413, "body too large")
+            if not count:
+                self._trailers, self._at = True, end + 2
+                continue
+            if self._filled < end + 2 + count + 2:
+                return None
+            if self._buffer[end + 2 + count:end + 4 + count] != b"\r\n":
+                return Fault(400, "garbled chunk")
+            data = bytes(self._buffer[end + 2:end + 2 + count])
+            self._consume(end + 4 + count)
+            if self._as_pieces:
+                found.append(Piece(data))
+            else:
+                self._size += count
+                self._chunks.append(data)
--- /dev/null
+++ b/umbermoor/node/__init__.py
@@ -0,0 +1,1 @@
+"""The real front: sockets around the decision module, on Twisted."""
--- /dev/null
+++ b/umbermoor/node/budget.py
@@ -0,0 +1,22 @@
+"""The open sockets that clients and machines share."""
+
+from typing import Callable
+
+RESERVE = 24  # descriptors for the control addresses, the listener, the log and the reactor itself
+
+
+class Budget:
+    def __init__(self, sockets: int) -> None:
+        self.most = sockets - RESERVE
+        self.used = self.peak = 0
+        self.spare: list[Callable[[], bool]] = []  # each closes one idle connection, if it has any
+
+    def take(self) -> bool:
+        if self.used >= self.most and not any(close() for close in self.spare):
+            return False
+        self.used += 1
+        self.peak = max(self.peak, self.used)
+        return True
+
+    def give(self) -> None:
+        self.used -= 1
--- /dev/null
+++ b/umbermoor/node/discovery.py
@@ -0,0 +1,131 @@
+"""The list of machines: one whole answer first, then a watch that asks again at once."""
+
+import logging
+from typing import Any, Callable, Mapping, NamedTuple
+
+import orjson
+from twisted.internet.defer import Deferred
+
+from umbermoor.http1.buffers import Buffers
+from umbermoor.http1.reader import Response
+from umbermoor.http1.writer import write_request
+from umbermoor.interface import Entry, Listing, Readiness
+from umbermoor.logs import note
+from umbermoor.node.lines import SECOND, Attempt, Line
+from umbermoor.node.outcomes import Outcome
+from umbermoor.station import Address, read_address
+
+log = logging.getLogger(__name__)
+
+PATH = "/discovery/hosts"
+WAIT_MS = 10_000  # how long a watch may wait for news
+ANSWER_WITHIN = 2 * SECOND  # what is waited for an answer beyond that
+AGAIN_FIRST, AGAIN_MOST = 0.05, 1.0  # seconds until a failed call is made again, doubling
+
+_STATES = {"SERVING": Readiness.READY, "DRAINING": Readiness.DRAINING, "DELETED": Readiness.GONE}
+
+
+class News(NamedTuple):
+    version: int
+    whole: bool
+    entries: list[Entry]
+    addresses: dict[str, Address]
+
+
+def read_list(given: Any, zones: Mapping[str, int]) -> News | None:
+    """A list in discovery's form; none where it cannot be read. An entry that cannot be read says nothing."""
+    if not isinstance(given, dict) or not isinstance(given.get("hosts"), list) or not _whole(given.get("seq")):
+        return None
+    entries, addresses = [], {}
+    for host in given["hosts"]:
+        entry = _entry(host, zones) if isinstance(host, dict) else None
+        if entry is None:
+            note(log, "entry not read", logging.WARNING, entry=repr(host)[:120])
+            continue
+        entries.append(entry)
+        if address := read_address(str(host.get("dial", ""))):
+            addresses[entry.machine] = address
+    return News(given["seq"], given.get("whole") is True, entries, addresses)
+
+
+def _whole(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _entry(host: dict[str, Any], zones: Mapping[str, int]) -> Entry | None:
+    name, build, state = host.get("host"), host.get("build"), _STATES.get(host.get("health"))
+    if not isinstance(name, str) or state is None or not (_whole(build) or state is Readiness.GONE):
+        return None
+    born, cell, share = host.get("born_ms") or 0, host.get("block") or 0, host.get("share")
+    return Entry(name, build if _whole(build) else 0, zones.get(host.get("site"), 0), cell if _whole(cell) else 0,
+                 state, float(share) if isinstance(share, (int, float)) else 1.0,
+                 round(born * 1000) if isinstance(born, (int, float)) else 0)
+
+
+class Discovery:
+    def __init__(self, reactor, buffers: Buffers, address: Address, zones: Mapping[str, int],
+                 told: Callable[[Listing, News | None], None]) -> None:
+        self._reactor, self._buffers, self._address, self._zones, self._told = reactor, buffers, address, zones, told
+        self._version: int | None = None  # of the list that we hold; none: the whole is asked for
+        self._line: Line | None = None
+        self._again = AGAIN_FIRST
+        self._asking: Deferred[Outcome] | None = None
+        self._stopped = False
+
+    def start(self) -> None:
+        if self._asking is None and not self._stopped:
+            self._ask()
+
+    def stop(self) -> None:
+        self._stopped = True
+        if self._asking is not None:
+            self._asking.cancel()
+        if self._line is not None:
+            self._line.close()
+
+    def _ask(self) -> None:
+        if self._stopped:
+            return
+        wait = WAIT_MS if self._version is not None else 0
+        target = f"{PATH}?after={self._version}&wait_ms={wait}" if wait else PATH
+        attempt = Attempt(self._reactor, write_request("GET", target, "discovery"), wait * 1000 + ANSWER_WITHIN)
+        self._asking = attempt.outcome
+        if self._line is not None and self._line.clean:
+            attempt.on(self._line)
+        else:
+            attempt.connect(self._address, ANSWER_WITHIN, lambda: Line(self._buffers))
+        attempt.outcome.addCallback(self._answered, attempt).addErrback(self._faulted)
+
+    def _answered(self, outcome: Outcome, attempt: Attempt) -> None:
+        self._asking, self._line = None, attempt.line
+        if self._stopped:
+            return
+        news = self._read(outcome)
+        if news is None:
+            note(log, "list not read", logging.WARNING, outcome=repr(outcome)[:120])
+            if self._line is not None:
+                self._line.close()
+            self._told(Listing.FAILED, None)
+            self._reactor.callLater(self._again, self._ask)
+            self._again = min(AGAIN_MOST, 2 * self._again)
+            return
+        self._again = AGAIN_FIRST
+        self._ask()  # at once: what changes in between counts as told
+        self._told(Listing.FULL if news.whole else Listing.CHANGES, news)
+
+    def _read(self, outcome: Outcome) -> News | None:
+        if not isinstance(outcome, Response) or outcome.status != 200:
+            return None
+        try:
+            news = read_list(orjson.loads(outcome.body), self._zones)
+        except orjson.JSONDecodeError:
+            return None
+        if news is None or self._version is not None and news.version < self._version or (
+                self._version is None and not news.whole):
+            self._version = None  # it has gone back, or cannot be read: the whole list tells
+            return None
+        self._version = news.version
+        return news
+
+    def _faulted(self, failure) -> None:
+        log.error("fault in the list", exc_info=(failure.type, failure.value, failure.getTracebackObject()))
--- /dev/null
+++ b/umbermoor/node/exchange.py
@@ -0,0 +1,212 @@
+"""Between the facade and the connections: carries out what the module says, and reports what became of it."""
+
+import logging
+from collections import deque
+from typing import Callable
+
+from twisted.internet.defer import Deferred
+
+from umbermoor.facade import (Abandoned, Connected, Denied, Desk, Ended, Go, Heard, Held, Left, Listed, Note, Probe,
+                              Probed, Step, Stop, Tell, Vote, Watch)
+from umbermoor.http1.reader import Response
+from umbermoor.interface import Ending, Listing, News, Readiness
+from umbermoor.logs import note
+from umbermoor.node import discovery as lists
+from umbermoor.node.clients import Answer, Query
+from umbermoor.node.machines import Machines
+from umbermoor.node.outcomes import Outcome, ending
+from umbermoor.node.platform import Platform
+
+log = logging.getLogger(__name__)
+
+SECOND = 1_000_000
+
+
+class _Held:
+    """A query that waits for its answer."""
+
+    __slots__ = ("query", "answer")
+
+    def __init__(self, query: Query, answer: "Deferred[Answer]") -> None:
+        self.query, self.answer = query, answer
+
+
+class Exchange:
+    def __init__(self, reactor, clock: Callable[[], int], desk: Desk, machines: Machines,
+                 load_fields: tuple[str, ...]) -> None:
+        self._reactor, self._clock, self._desk, self._machines = reactor, clock, desk, machines
+        self._load_fields = load_fields
+        self.platform: Platform | None = None
+        self.watch: Callable[[], None] = lambda: None
+        self.held: dict[str, _Held] = {}
+        self._out: dict[tuple[str, int], Deferred[None]] = {}
+        self._steps: deque[Step] = deque()
+        self._following = False
+        self._timer = None
+        self._timer_at = 0
+        self._stage: tuple | None = None
+        self._do: dict[type, Callable] = {
+            Go: self._go, Stop: self._stop, Denied: self._denied, Abandoned: self._abandoned, Vote: self._vote,
+            Watch: lambda _: self.watch(), Probe: self._probe, Held: lambda _: None,
+            Tell: lambda _: None,  # no page says how fronts would reach each other
+            Note: lambda step: note(log, step.text)}
+
+    # From clients.
+
+    def ask(self, query: Query) -> "Deferred[Answer]":
+        id = query.asked.query
+        answer: Deferred[Answer] = Deferred(lambda _: self._left(id))
+        if id in self.held:
+            answer.callback(Answer(409))
+            return answer
+        self.held[id] = _Held(query, answer)
+        try:
+            self._follow([self._desk.pick(query.asked)])
+        except Exception:
+            self._give_up(id)
+            raise
+        return answer
+
+    def _left(self, id: str) -> None:
+        if self.held.pop(id, None):
+            self.report(Left(id))
+
+    def _give_up(self, id: str) -> None:
+        """After a fault of ours: nothing more for this query, whose client is told that it failed."""
+        self.held.pop(id, None)
+        for key in [key for key in self._out if key[0] == id]:
+            self._out[key].cancel()
+
+    # From elsewhere.
+
+    def report(self, heard: Heard) -> None:
+        self._follow(self._desk.report(heard))
+
+    def listed(self, kind: Listing, news: lists.News | None) -> None:
+        if news is None:
+            self.report(Listed(kind, ()))
+            return
+        whole = kind is not Listing.CHANGES
+        self._machines.listed(whole, {
+            entry.machine: (news.addresses[entry.machine], entry.readiness is Readiness.READY)
+            if entry.readiness and entry.machine in news.addresses else None for entry in news.entries})
+        if news.entries or whole:
+            note(log, "list", kind=kind.name.lower(), version=news.version,
+                 entries=" ".join(f"{one.machine}:{one.build}:{one.readiness.name.lower()}" for one in news.entries))
+        self.report(Listed(kind, news.entries))
+
+    def told(self, news: Heard) -> None:
+        """What the platform tells unasked."""
+        if isinstance(news, News):
+            self._note_stage(news)
+        self.report(news)
+
+    def _note_stage(self, news: News) -> None:
+        stage = news.build, news.stage, news.phase, news.cap
+        if news.ending is Ending.OK and stage != self._stage:
+            self._stage = stage
+            note(log, "stage", build=news.build, stage=news.stage, phase=news.phase.name.lower(), cap=news.cap)
+
+    # What is to be done.
+
+    def _follow(self, steps: list[Step]) -> None:
+        self._steps.extend(steps)
+        if self._following:
+            return
+        self._following = True
+        try:
+            while self._steps:
+                step = self._steps.popleft()
+                self._do[type(step)](step)
+        finally:
+            self._following = False
+            self._arm()
+
+    def _arm(self) -> None:
+        at = self._desk.next_tick
+        if self._timer is not None and self._timer.active():
+            if self._timer_at == at:
+                return
+            self._timer.cancel()
+        self._timer_at = at
+        self._timer = self._reactor.callLater(max(0, at - self._clock()) / SECOND, self.tick)
+
+    def tick(self) -> None:
+        try:
+            self._follow(self._desk.tick())
+        except Exception:
+            log.exception("fault in a tick")
+            self._timer = self._reactor.callLater(0.1, self.tick)
+            self._timer_at = 0
+
+    def stop(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _go(self, step: Go) -> None:
+        held = self.held.get(step.query)
+        if held is None:  # its client has left
+            self.report(Ended(step.query, step.number, step.machine, Ending.MOOT, 0))
+            return
+        request, sent, key = held.query.request, self._clock(), (step.query, step.number)
+        headers = {"X-Txn": step.query, "X-Lane": request.headers["x-lane"],
+                   "X-Remaining": f"{max(0, step.limit) / SECOND:.3f}"}
+        outcome = self._machines.hand_off(
+            step.machine, request.method, request.target, headers, request.body, step.limit,
+            lambda: bool(self._desk.report(Connected(*key))))
+        self._out[key] = outcome
+        outcome.addCallback(self._ended, step, sent).addErrback(self._faulted, step.query)
+
+    def _ended(self, outcome: Outcome, step: Go, sent: int) -> None:
+        self._out.pop((step.query, step.number), None)
+        how = ending(outcome)
+        if how is Ending.OK and isinstance(outcome, Response):
+            self._answer(step.query, Answer(200, outcome.body))
+        self.report(Ended(step.query, step.number, step.machine, how, self._clock() - sent))
+
+    def _faulted(self, failure, id: str) -> None:
+        log.error("fault in a hand-off", exc_info=(failure.type, failure.value, failure.getTracebackObject()))
+        held = self.held.get(id)
+        self._give_up(id)
+        if held:
+            held.answer.callback(Answer(500))
+
+    def _stop(self, step: Stop) -> None:
+        if outcome := self._out.get((step.query, step.number)):
+            outcome.cancel()
+
+    def _denied(self, step: Denied) -> None:
+        headers = {"Retry-After": f"{step.wait / SECOND:.3f}"} if step.wait else {}
+        self._answer(step.query, Answer(503, headers=headers))
+
+    def _abandoned(self, step: Abandoned) -> None:
+        self._answer(step.query, Answer(502))
+
+    def _answer(self, id: str, answer: Answer) -> None:
+        if held := self.held.pop(id, None):
+            held.answer.callback(answer)
+
+    def _vote(self, step: Vote) -> None:
+        note(log, "vote", build=step.build, stage=step.stage, verdict=step.verdict.name.lower())
+        self.platform.vote(step).addCallback(self._voted).addErrback(
+            lambda failure: log.error("fault in a vote: %s", failure))
+
+    def _voted(self, news: News) -> None:
+        if news.ending is not Ending.OK:
+            note(log, "vote not counted", ending=news.ending.name.lower())
+        self._note_stage(news)
+        self.report(news)
+
+    def _probe(self, step: Probe) -> None:
+        self._machines.probe(step.machine, bool(self._load_fields)).addCallback(self._probed, step.machine)
+
+    def _probed(self, outcome: Outcome, machine: str) -> None:
+        load = None
+        if isinstance(outcome, Response):
+            text = outcome.headers.get("x-pressure") or outcome.body.decode("latin-1")
+            pairs = dict(part.strip().partition("=")[::2] for part in text.split(","))
+            try:
+                load = [float(pairs[name]) for name in self._load_fields]
+            except (KeyError, ValueError):
+                load = None
+        self.report(Probed(machine, ending(outcome), load))
--- /dev/null
+++ b/umbermoor/node/formats.py
@@ -0,0 +1,99 @@
+"""The platform's formats: forms, XML and event streams. What cannot be read is None, or passed over."""
+
+import re
+from typing import Mapping, NamedTuple
+from urllib.parse import parse_qsl, urlencode
+
+_TAG = re.compile(r"<(/?)([A-Za-z_][\w.-]*)([^<>]*?)(/?)>")
+_ENTITY = re.compile(r"&(#x[0-9A-Fa-f]+|#[0-9]+|lt|gt|amp|quot|apos);")
+_NAMED = {"lt": "<", "gt": ">", "amp": "&", "quot": '"', "apos": "'"}
+LINE_MOST = 64 * 1024  # of an event; what is longer is passed over
+
+
+class Element(NamedTuple):
+    name: str
+    text: str
+    inner: "list[Element]"
+
+    def find(self, name: str) -> "Element | None":
+        """The first of that name, in depth."""
+        for one in self.inner:
+            if one.name == name:
+                return one
+            if found := one.find(name):
+                return found
+        return None
+
+    def values(self) -> dict[str, str]:
+        return {one.name: one.text for one in self.inner}
+
+
+def write_form(values: Mapping[str, object]) -> bytes:
+    return urlencode({name: str(value) for name, value in values.items()}).encode()
+
+
+def read_form(text: str) -> dict[str, str]:
+    return dict(parse_qsl(text, keep_blank_values=True))
+
+
+def read_xml(data: bytes) -> Element | None:
+    """Elements and text; attributes, comments and instructions are passed over."""
+    try:
+        text = data.decode()
+    except UnicodeDecodeError:
+        return None
+    text = re.sub(r"<\?.*?\?>|<!--.*?-->|<!DOCTYPE[^>]*>", "", text, flags=re.DOTALL)
+    stack, at = [Element("", "", [])], 0
+    for tag in _TAG.finditer(text):
+        between, at = text[at:tag.start()], tag.end()
+        if "<" in between or ">" in between:
+            return None
+        if tag[1]:
+            done = stack.pop()
+            if not stack or done.name != tag[2]:
+                return None
+            stack[-1].inner.append(done._replace(text="" if done.inner else _ENTITY.sub(_plain, between).strip()))
+        elif tag[4]:
+            stack[-1].inner.append(Element(tag[2], "", []))
+        else:
+            stack.append(Element(tag[2], "", []))
+    whole = len(stack) == 1 and len(stack[0].inner) == 1 and not text[at:].strip()
+    return stack[0].inner[0] if whole else None
+
+
+def _plain(entity: re.Match[str]) -> str:
+    name = entity[1]
+    if name in _NAMED:
+        return _NAMED[name]
+    code = int(name[2:], 16) if name[1] == "x" else int(name[1:])
+    return chr(code) if 0 < code < 0x110000 and not 0xD800 <= code < 0xE000 else ""
+
+
+class Event(NamedTuple):
+    kind: str
+    data: str
+
+
+class EventStream:
+    """Cuts events out of the pieces of a stream."""
+
+    def __init__(self) -> None:
+        self._rest, self._kind, self._data = b"", "", []
+
+    def feed(self, piece: bytes) -> list[Event]:
+        events = []
+        *lines, self._rest = re.split(rb"\r\n|\n|\r(?!\Z)", self._rest + piece)  # a last \r may be half of \r\n
+        if len(self._rest) > LINE_MOST:
+            self._rest = b""
+        for line in lines:
+            name, _, value = line.decode("utf-8", "replace").partition(":")
+            value = value.removeprefix(" ")
+            if not line:
+                if self._data:
+                    events.append(Event(self._kind or "message", "\n".join(self._data)))
+                self._kind, self._data = "", []
+            elif name == "event":
+                self._kind = value
+            elif name == "data":
+                self._data.append(value)
+        return events
--- /dev/null
+++ b/umbermoor/node/machines.py
@@ -0,0 +1,103 @@
+"""Connections to machines: kept, the one used last first, with one hand-off at a time on each."""
+
+from dataclasses import dataclass, field
+from typing import Callable, Mapping
+
+from twisted.internet.defer import Deferred
+
+from umbermoor.http1.buffers import Buffers
+from umbermoor.http1.reader import Response
+from umbermoor.http1.writer import write_request
+from umbermoor.node.budget import Budget
+from umbermoor.node.lines import SECOND, Attempt, Line
+from umbermoor.node.outcomes import Cause, Failed, Outcome, Progress
+
+IDLE_SAFE = 2 * SECOND  # a connection is not used again this close to the machine's own limit on idle ones
+PROBE_LIMIT = SECOND // 4
+
+
+@dataclass(slots=True)
+class _Place:
+    address: tuple[str, int]
+    ready: bool = True
+    idle: list[Line] = field(default_factory=list)
+
+
+class Machines:
+    def __init__(self, reactor, clock: Callable[[], int], buffers: Buffers, budget: Budget, connect_within: int,
+                 idle_close: int, host: str) -> None:
+        self._reactor, self._clock, self._buffers, self._budget, self._host = reactor, clock, buffers, budget, host
+        self._connect_within, self._idle_most = connect_within, max(idle_close // 2, idle_close - IDLE_SAFE)
+        self._places: dict[str, _Place] = {}
+        budget.spare.append(self._close_one)
+
+    def listed(self, whole: bool, places: Mapping[str, tuple[tuple[str, int], bool] | None]) -> None:
+        """Where machines listen and whether they are ready; none: gone."""
+        gone = [id for id in self._places if id not in places] if whole else []
+        for id in [*gone, *(id for id, place in places.items() if place is None)]:
+            if place := self._places.pop(id, None):
+                self._hang_up(place)
+        for id, given in places.items():
+            if given is None:
+                continue
+            place = self._places.setdefault(id, _Place(given[0]))
+            if place.address != given[0] or not given[1]:
+                self._hang_up(place)
+            place.address, place.ready = given
+
+    def hand_off(self, machine: str, method: str, target: str, headers: Mapping[str, str], body: bytes, limit: int,
+                 may_go: Callable[[], bool]) -> "Deferred[Outcome]":
+        """Cancel the result to call it off; the outcome then comes all the same."""
+        place = self._places.get(machine)
+        attempt = Attempt(self._reactor, write_request(method, target, self._host, headers, body), limit)
+        line = place and self._kept(place)
+        if line:
+            attempt.on(line)
+        elif place and self._budget.take():
+            attempt.connect(place.address, self._connect_within, lambda: Line(self._buffers), may_go, self._budget.give)
+        else:
+            attempt.refuse()
+        return attempt.outcome.addCallback(self._over, machine, place, attempt)
+
+    def probe(self, machine: str, reports: bool) -> "Deferred[Outcome]":
+        return self.hand_off(machine, "GET", "/metrics/load" if reports else "/alive", {}, b"", PROBE_LIMIT,
+                             lambda: True)
+
+    def close(self) -> None:
+        for place in self._places.values():
+            self._hang_up(place)
+
+    def _over(self, outcome: Outcome, machine: str, place: _Place | None, attempt: Attempt) -> Outcome:
+        line = attempt.line
+        if line and line.open:
+            unused = outcome == Failed(Progress.UNCONNECTED, Cause.WITHDRAWN)
+            known = place is self._places.get(machine) and place.ready
+            if known and line.clean and (unused or isinstance(outcome, Response)):
+                line.idle_since = self._clock()
+                place.idle.append(line)
+            else:
+                line.close()
+        return outcome
+
+    def _kept(self, place: _Place) -> Line | None:
+        while place.idle:
+            line = place.idle.pop()
+            if line.clean and self._clock() - line.idle_since < self._idle_most:
+                return line
+            line.close()
+        return None
+
+    def _hang_up(self, place: _Place) -> None:
+        for line in place.idle:
+            line.close()
+        place.idle.clear()
+
+    def _close_one(self) -> bool:
+        """The one that has stood idle longest; those that have closed meanwhile are passed over."""
+        for place in self._places.values():
+            place.idle = [line for line in place.idle if line.open]
+        places = [place for place in self._places.values() if place.idle]
+        if not places:
+            return False
+        min(places, key=lambda place: place.idle[0].idle_since).idle.pop(0).close()
+        return True
--- /dev/null
+++ b/umbermoor/node/platform.py
@@ -0,0 +1,168 @@
+"""The release platform: votes out, and the stream of what it tells unasked."""
+
+import logging
+from math import isfinite
+from typing import Any, Callable, Mapping
+
+from twisted.internet.defer import Deferred
+
+from umbermoor.charter import micros
+from umbermoor.facade import Complaint, Tally, Vote
+from umbermoor.http1.buffers import Buffers
+from umbermoor.http1.reader import Response
+from umbermoor.http1.writer import write_request
+from umbermoor.interface import Ending, News, Phase, Verdict
+from umbermoor.logs import note
+from umbermoor.node.formats import Event, EventStream, read_form, read_xml, write_form
+from umbermoor.node.lines import SECOND, Attempt, Line
+from umbermoor.node.outcomes import Failed, Outcome, Progress
+from umbermoor.station import Address
+
+log = logging.getLogger(__name__)
+
+SILENT = 3.5  # seconds without a sign of life until a second stream is opened beside the first
+AGAIN_FIRST, AGAIN_MOST = 0.1, 1.0  # seconds until a lost stream is opened again, doubling
+CONNECT_WITHIN = 2 * SECOND
+FOR_EVER = 366 * 86400 * SECOND
+
+_PHASES = {"trial": Phase.TRIAL, "rolling_back": Phase.GOING_BACK, "released": Phase.RELEASED,
+           "withdrawn": Phase.WITHDRAWN}
+_VERDICTS = {Verdict.NONE: "WITHDRAW", Verdict.ON: "PROCEED", Verdict.HOLD: "HOLD", Verdict.BACK: "ROLLBACK"}
+_ERRORS = {"Throttling": Ending.FULL, "ConditionFailed": Ending.MOOT, "ValidationError": Ending.MOOT,
+           "InternalFailure": Ending.ERROR}
+
+
+def _number(values: Mapping[str, Any], name: str) -> float:
+    value = float(values[name])
+    if not isfinite(value) or not 0 <= value < 1e15:
+        raise ValueError(f"{name}: {value}")
+    return value
+
+
+def read_stage(values: Mapping[str, Any], answers_vote: bool = False) -> News | None:
+    """The newest build's state, as any of the platform's forms gives it."""
+    try:
+        return News(int(_number(values, "Revision")), int(_number(values, "Wave")), _PHASES[str(values["State"])],
+                    min(1.0, _number(values, "MaxShare")), micros(_number(values, "AgeMs")), answers_vote, Ending.OK)
+    except (KeyError, ValueError, TypeError):
+        return None
+
+
+def read_event(event: Event, profiles: Mapping[str, int]) -> News | Tally | Complaint | None:
+    values = read_form(event.data)
+    try:
+        if event.kind == "stage":
+            return read_stage(values)
+        if event.kind == "tally":
+            counted, lost = int(_number(values, "Samples")), int(_number(values, "Errors"))
+            took = micros(_number(values, "MeanMs")) if lost < counted else 0
+            return Tally(int(_number(values, "Revision")), profiles[values["Lane"]], counted, lost, took,
+                         micros(_number(values, "AgeMs")))
+        if event.kind == "flag":
+            return Complaint(values["InstanceId"], profiles[values["Lane"]], micros(_number(values, "AgeMs")))
+    except (KeyError, ValueError):
+        pass
+    return None
+
+
+def read_vote(outcome: Outcome) -> News:
+    """What became of a vote. Threat: one that may have counted taken for one that did not."""
+    ending = Ending.TIMEOUT
+    if isinstance(outcome, Failed):
+        ending = Ending.ERROR if outcome.progress < Progress.WHOLE else Ending.TIMEOUT
+    elif (found := read_xml(outcome.body)) is not None:
+        item, code = found.find("item"), found.find("Code")
+        stage = read_stage(item.values(), True) if item else None
+        if outcome.status == 200 and stage:
+            return stage
+        if outcome.status != 200 and code:
+            ending = _ERRORS.get(code.text, Ending.TIMEOUT)
+    return News(0, 0, Phase.TRIAL, 0.0, 0, True, ending)
+
+
+class Platform:
+    def __init__(self, reactor, buffers: Buffers, address: Address, vote_wait: int, profiles: Mapping[str, int],
+                 told: Callable[[News | Tally | Complaint], None]) -> None:
+        self._reactor, self._buffers, self._address, self._vote_wait = reactor, buffers, address, vote_wait
+        self._profiles, self._told = profiles, told
+        self._streams: list[_Stream] = []  # one; two while the older is silent
+        self._again = AGAIN_FIRST
+        self._stopped = False
+
+    def vote(self, vote: Vote) -> "Deferred[News]":
+        body = write_form({"Action": "RecordOpinion", "Revision": vote.build, "Wave": vote.stage,
+                           "Decision": _VERDICTS[vote.verdict]})
+        headers = {"Content-Type": "application/x-www-form-urlencoded", "Connection": "close"}
+        attempt = Attempt(self._reactor, write_request("POST", "/v1/", "platform", headers, body), self._vote_wait)
+        attempt.connect(self._address, self._vote_wait, lambda: Line(self._buffers))
+        return attempt.outcome.addCallback(lambda outcome: self._voted(outcome, attempt))
+
+    def start(self) -> None:
+        if not self._stopped:
+            self._streams.append(_Stream(self))
+
+    def stop(self) -> None:
+        self._stopped = True
+        for stream in self._streams:
+            stream.stop()
+
+    def _voted(self, outcome: Outcome, attempt: Attempt) -> News:
+        if attempt.line is not None:
+            attempt.line.close()
+        return read_vote(outcome)
+
+    def heard(self, stream: "_Stream", events: list[Event]) -> None:
+        self._again = AGAIN_FIRST
+        for other in [one for one in self._streams if one is not stream]:  # the one that speaks is kept
+            self._streams.remove(other)
+            other.stop()
+        for event in events:
+            news = read_event(event, self._profiles)
+            if news is None:
+                note(log, "event not read", logging.WARNING, kind=event.kind, data=event.data[:120])
+            else:
+                self._told(news)
+
+    def silent(self) -> None:
+        """Threat: silence may be the platform's, which then goes on here, or a dead connection's."""
+        if not self._stopped:
+            for newer in self._streams[1:]:
+                self._streams.remove(newer)
+                newer.stop()
+            self.start()
+
+    def lost(self, stream: "_Stream", outcome: Outcome) -> None:
+        if stream in self._streams:
+            self._streams.remove(stream)
+            note(log, "stream lost", outcome=repr(outcome)[:120])
+            if not self._streams:
+                self._reactor.callLater(self._again, lambda: self._streams or self.start())
+                self._again = min(AGAIN_MOST, 2 * self._again)
+
+
+class _Stream:
+    def __init__(self, platform: Platform) -> None:
+        self._platform, self._events = platform, EventStream()
+        self._attempt = Attempt(platform._reactor, write_request("GET", "/v1/bulletin", "platform"), FOR_EVER)
+        self._attempt.connect(platform._address, CONNECT_WITHIN, lambda: Line(platform._buffers, self._piece))
+        self._quiet = platform._reactor.callLater(SILENT, self._silent)
+        self._attempt.outcome.addCallback(self._over)
+
+    def stop(self) -> None:
+        self._attempt.outcome.cancel()
+
+    def _piece(self, data: bytes) -> None:
+        self._quiet.reset(SILENT) if self._quiet.active() else None
+        self._platform.heard(self, self._events.feed(data))
+
+    def _silent(self) -> None:
+        self._quiet = self._platform._reactor.callLater(SILENT, self._silent)
+        if self._platform._streams[:1] == [self]:
+            self._platform.silent()
+
+    def _over(self, outcome: Outcome) -> None:
+        if self._quiet.active():
+            self._quiet.cancel()
+        if self._attempt.line is not None:
+            self._attempt.line.close()
+        self._platform.lost(self, outcome)
--- /dev/null
+++ b/umbermoor/node/service.py
@@ -0,0 +1,134 @@
+"""Starts the front, wires its parts together, and drains it."""
+
+import gc
+import logging
+import resource
+import signal
+import time
+
+from twisted.internet import reactor
+from twisted.logger import STDLibLogObserver, globalLogBeginner
+
+from umbermoor.facade import Desk
+from umbermoor.http1.buffers import Buffers
+from umbermoor.interface import Listing
+from umbermoor.logs import note
+from umbermoor.node.budget import Budget
+from umbermoor.node.clients import Clients
+from umbermoor.node.discovery import Discovery, read_list
+from umbermoor.node.exchange import Exchange
+from umbermoor.node.machines import Machines
+from umbermoor.node.platform import Platform, read_stage
+from umbermoor.station import Station
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024  # connections that the kernel holds while the front is busy
+UP_WITHIN = 1.0  # seconds; then it is up with what it was given at the start
+LISTEN_ON = 0.55  # seconds after SIGTERM in which new connections may still come
+DRAIN_CHECK = 0.02
+
+
+class Clock:
+    """Microseconds since 1970 that never go back: the system's time at the start, and what has passed since."""
+
+    def __init__(self) -> None:
+        self._offset = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return (self._offset + time.monotonic_ns()) // 1000
+
+
+class Service:
+    def __init__(self, reactor, station: Station, clock: Clock) -> None:
+        self._reactor, self._station = reactor, station
+        buffers, self._budget = Buffers(), Budget(station.sockets)
+        charter = station.charter
+        self._machines = Machines(reactor, clock, buffers, self._budget, station.connect_within, station.idle_close,
+                                  station.service)
+        self._exchange = exchange = Exchange(reactor, clock, Desk(charter, clock), self._machines,
+                                             station.load_fields)
+        self._clients = Clients(reactor, clock, buffers, self._budget, station.profiles,
+                                [row.repeat for row in charter.profiles], exchange.ask)
+        self._platform = exchange.platform = Platform(reactor, buffers, station.platform, charter.vote_wait,
+                                                      station.profiles, self._told)
+        self._discovery = Discovery(reactor, buffers, station.discovery, station.zones, self._listed)
+        exchange.watch = self._discovery.start
+        self._heard: set[str] = set()
+        self._port = None
+
+    def start(self) -> None:
+        station, charter = self._station, self._station.charter
+        note(log, "start", name=station.name, listen="{}:{}".format(*station.listen), fronts=charter.fronts,
+             sockets=station.sockets)
+        if charter.may_tell:
+            note(log, "fronts may send each other messages here, but no page says how: none are sent", logging.WARNING)
+        known = read_list(station.known, station.zones) if station.known else None
+        if known:
+            self._exchange.listed(Listing.CACHED, known)
+        news = read_stage(station.news) if station.news else None
+        if news:
+            self._exchange.told(news)
+        self._discovery.start()
+        self._platform.start()
+        host, port = station.listen
+        self._port = self._reactor.listenTCP(port, self._clients, BACKLOG, host)
+        self._reactor.callLater(UP_WITHIN, self._go_up)
+        self._exchange.tick()
+
+    def _listed(self, kind, news) -> None:
+        self._exchange.listed(kind, news)
+        self._hear("list" if news else "")
+
+    def _told(self, news) -> None:
+        self._exchange.told(news)
+        self._hear("stage")
+
+    def _hear(self, what: str) -> None:
+        if not self._clients.up:
+            self._heard.add(what)
+            if self._heard >= {"list", "stage"}:
+                self._go_up()
+
+    def _go_up(self) -> None:
+        if not self._clients.up:
+            self._clients.up = True
+            note(log, "up", heard=" ".join(sorted(self._heard)))
+
+    def drain(self) -> None:
+        if not self._clients.leaving:
+            note(log, "drain", queries=len(self._exchange.held), clients=len(self._clients.open))
+            self._clients.leaving = True
+            self._reactor.callLater(LISTEN_ON, self._stop_listening)
+
+    def _stop_listening(self) -> None:
+        # Threat: closing the listener resets what the kernel has accepted. All of that is taken first.
+        self._port.doRead()
+        self._port.stopListening()
+        self._leave()
+
+    def _leave(self) -> None:
+        self._clients.close_idle()
+        if self._clients.open:
+            self._reactor.callLater(DRAIN_CHECK, self._leave)
+            return
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        note(log, "end", peak_kb=usage.ru_maxrss, peak_sockets=self._budget.peak,
+             cpu_s=f"{usage.ru_utime + usage.ru_stime:.2f}")
+        self._discovery.stop()
+        self._platform.stop()
+        self._exchange.stop()
+        self._machines.close()
+        self._reactor.callLater(0, self._reactor.stop)
+
+
+def serve(station: Station) -> int:
+    globalLogBeginner.beginLoggingTo([STDLibLogObserver()], redirectStandardIO=False)
+    service = Service(reactor, station, Clock())
+    reactor.callWhenRunning(service.start)
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(service.drain))
+    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(service.drain))
+    gc.collect()
+    gc.freeze()
+    reactor.run(installSignalHandlers=False)
+    return 0
--- a/umbermoor/records.py
+++ b/umbermoor/records.py
@@ -1,6 +1,7 @@
 """What one front remembers: plain records of machines, queries and outcomes. Nothing is decided here."""
 
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from math import exp
 from struct import Struct
 from zlib import crc32
@@ -8,6 +9,11 @@
 from umbermoor.interface import NEVER_RAN, Ending
 
 
+def rank(machine: str, front: int) -> float:
+    """A front's order of the machines, known to its peers: those that rank one high share it."""
+    return int.from_bytes(blake2b(machine.encode(), key=front.to_bytes(2)).digest()[:2]) / 65536
+
+
 @dataclass(slots=True)
 class Fading:
     """A sum that loses weight with time."""
--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -8,14 +8,13 @@
 import heapq
 import random
 from collections import defaultdict, deque
-from hashlib import blake2b
 from itertools import takewhile
 from math import exp, log, sqrt
 from typing import Sequence
 
 from umbermoor.interface import (Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase,
                                  Repeat, Verdict)
-from umbermoor.records import Contrast, Fading, HandOff, Machine, Pool, Query, Score
+from umbermoor.records import Contrast, Fading, HandOff, Machine, Pool, Query, Score, rank
 
 SECOND = 1_000_000
 MOVING = (Phase.TRIAL, Phase.GOING_BACK)
@@ -110,9 +109,8 @@
     def hand_off_ended(self, now: int, query: str, number: int, machine: str, ending: Ending, took: int,
                        closed: bool) -> None:
         held = self.queries.get(query)
-        if held is None or number >= len(held.hand_offs) or held.hand_offs[number].ending is not None:
+        if held is None or (hand_off := held.hand_offs[number]).ending is not None:
             return
-        hand_off = held.hand_offs[number]
         hand_off.ending = ending
         self._learn(now, held, hand_off, ending, took)
         self._score(now, held, hand_off, ending, took)
@@ -146,9 +144,9 @@
                 known.ready = entry.readiness == 1
             else:
                 listed = entry.born if kind is Listing.CACHED else now
-                ready, rank = entry.readiness == 1, self._rank(entry.machine, self.charter.me)
+                place = rank(entry.machine, self.charter.me)
                 room = -self.random() * self.mean_cost  # threat: many fronts, a query each
-                known = Machine(*entry[:4], ready, entry.born, listed, now, rank, room)
+                known = Machine(*entry[:4], entry.readiness == 1, entry.born, listed, now, place, room)
                 self.machines[known.id] = known
                 self.tags[known.tag] = known.id
         self._regroup()
@@ -229,15 +227,13 @@
                 self.answered.add(held.key)
         if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
             self.gap += (machine.heard(now, LEARN, self.gap) - self.gap) * LEARN / 10
-        if not machine.open:  # an idle machine is not silent, whatever ended its last hand-off
-            machine.silent_since = None
+        machine.silent_since = machine.silent_since if machine.open else None  # idle, it is not silent
         if ending not in (Ending.CANCELLED, Ending.MOOT, Ending.TIMEOUT):
             failed = self.faulty.at(now) < MOST if ending is Ending.ERROR else ending is not Ending.OK
             machine.fails += (failed - machine.fails) * LEARN
 
     def _score(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
-        """Threat: queries that fail everywhere look like a bad build. An error counts once its query did well
-        elsewhere; the others while a part of them did so, or after many in a row."""
+        """Threat: queries that fail everywhere look like a bad build. Errors count once done well elsewhere."""
         profile, good = self.charter.profiles[held.profile], ending is Ending.OK
         twice = ending is Ending.ERROR and held.errors >= ENOUGH
         self.in_row = 0 if good else self.in_row + twice
@@ -267,8 +263,7 @@
         return self.news is not None and build >= self.news.build
 
     def _sight(self) -> tuple[Contrast, Contrast]:
-        """Both sides in this stage and since the trial began, at all fronts as far as peers passed it on.
-        Threat: light fronts never fill n*, and a freak draw of one decides. May harm where sights differ."""
+        """Both sides in this stage and since the trial began. Threat: light fronts' freak draws."""
         seen = self.stage.seen(self.charter.fronts)
         control = next((score for score in (seen.earlier, self.trial.earlier) if score.n >= LEAST),
                        Score(1, FIRST_MEAN, SOUND))
@@ -344,9 +339,7 @@
         machine.load += held.cost
         self._tell(machine)
         machine.silent_since = now if machine.silent_since is None else machine.silent_since
-        machine.room -= max(held.cost, self.mean_cost)  # hints are rough, light ones most of all
-        if self._on_trial(machine.build):
-            self.credit[held.scope] -= 1
+        self._charge(held, machine, 1)
         held.hand_offs.append(HandOff(machine, now, ahead))
         held.copy_at = 0
         if self.charter.may_copy and self.charter.profiles[held.profile].repeat is not Repeat.BINDING:
@@ -355,6 +348,24 @@
                 heapq.heappush(self.later, (held.copy_at, query))
         return (Do.HAND_OFF, query, machine.id, end - now)
 
+    def _charge(self, held: Query, machine: Machine, times: int) -> None:
+        machine.room -= times * max(held.cost, self.mean_cost)  # hints are rough, light ones most of all
+        if self._on_trial(machine.build):
+            self.credit[held.scope] -= times
+
+    def may_still(self, now: int, query: str, number: int) -> bool:
+        """Threat: what changes while a hand-off waits for its connection: the gate again, as if unsent."""
+        held = self.queries.get(query)
+        if not held or (hand_off := held.hand_offs[number]).ending is not None:
+            return False
+        machine, sent = hand_off.machine, held.hand_offs
+        self._charge(held, machine, -1)
+        held.hand_offs = [one for one in sent if one is not hand_off]
+        may = self.machines.get(machine.id) is machine and self._may(now, held, machine)
+        held.hand_offs = sent
+        self._charge(held, machine, 1)
+        return may
+
     def _may(self, now: int, held: Query, machine: Machine) -> bool:
         """The one gate of the rules: whether this query may be handed to this machine now."""
         charter, profile, hand_offs = self.charter, self.charter.profiles[held.profile], held.hand_offs
@@ -418,14 +429,10 @@
         # Threat: each front sees only its own part of the open work, so peers tell theirs.
         return machine.load + sum(load for told, load in machine.others.values() if now < told + TRUST)
 
-    def _rank(self, machine: str, front: int) -> float:
-        """A front's order of the machines, known to its peers: those that rank one high share it."""
-        return int.from_bytes(blake2b(machine.encode(), key=front.to_bytes(2)).digest()[:2]) / 65536
-
     def _tell(self, machine: Machine) -> None:
         if machine.users is None:  # nobody shares it where the circle is empty: no need to rank every front
             machine.users = [front for front in range(self.charter.fronts if self.circle else 0)
-                             if front != self.charter.me and self._rank(machine.id, front) < self.circle]
+                             if front != self.charter.me and rank(machine.id, front) < self.circle]
         payload = TALE + machine.tag + bytes([min(255, round(machine.load / GRAIN))])
         self.outbox.extend((Do.TELL, payload, front) for front in machine.users)
 
@@ -455,10 +462,8 @@
     def _regroup(self) -> None:
         circle = CIRCLE / self.charter.fronts if self.charter.may_tell else 0.0
         self.circle = circle if circle * len(self.machines) >= 4 else 0.0  # sharing fewer, it tells nothing
-        self.sides = [], []
-        for machine in sorted(self.machines.values(), key=lambda one: one.rank):
-            if machine.ready:
-                self.sides[self._on_trial(machine.build)].append(machine)
+        ready = sorted((one for one in self.machines.values() if one.ready), key=lambda one: one.rank)
+        self.sides = tuple([one for one in ready if self._on_trial(one.build) is on] for on in (False, True))
         self.share = len(self.sides[1]) / max(1, len(self.sides[0]) + len(self.sides[1]))
 
     def _expected(self, now: int) -> float:
@@ -487,10 +492,8 @@
         released, timed = news.phase is Phase.RELEASED, self.charter.control is Control.TIMER
         ahead = None if timed or released else Verdict.ON
         last = news.stage >= len(self.charter.stage_caps) - 1
-        if last:
-            ahead = self._unless_dragged(now, ahead, LINGER if released else HOLD)
-            if ahead is Verdict.BACK:
-                return ahead
+        if last and (ahead := self._unless_dragged(now, ahead, LINGER if released else HOLD)) is Verdict.BACK:
+            return ahead
         expected = self._expected(now) * (self.charter.fronts if self.fleet else 1)
         listed = [machine.listed for machine in self.machines.values() if machine.build == news.build]
         patience = PATIENT if last else min(PATIENT, self.charter.least_stage + SECOND // 2)
@@ -509,12 +512,9 @@
         return Verdict.HOLD if timed and trails else None
 
     def _unless_dragged(self, now: int, ahead: Verdict | None, most: int) -> Verdict | None:
-        """Threat: a build that slows every machine in step with its traffic. Before it gets all, the earlier
-        machines must answer about as fast as before the trial, after it all. May hold up good ones."""
+        """Threat: a build that slows every machine, in step with its traffic. May hold up good ones."""
         self.slow_since = (self.slow_since or now) if self.stage.pace() > DRAGGED * self.base > 0 else None
-        if self.slow_since is None:
-            return ahead
-        return Verdict.BACK if now - self.slow_since >= most else None
+        return ahead if self.slow_since is None else Verdict.BACK if now - self.slow_since >= most else None
 
     def _trails(self, new: float, n: float, earlier: float, sure: float = SURE) -> bool:
         """Whether the new build's posterior mean lies under the earlier mean by more than the margin."""
--- /dev/null
+++ b/umbermoor/station.py
@@ -0,0 +1,120 @@
+"""Where a front stands: its configuration, read, checked and given its defaults in this one place."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Mapping
+
+import orjson
+
+from umbermoor.charter import micros, read_charter
+from umbermoor.interface import Charter
+
+Address = tuple[str, int]
+
+
+class Misplaced(Exception):
+    """The configuration cannot be used; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Station:
+    name: str
+    listen: Address
+    discovery: Address
+    platform: Address
+    charter: Charter
+    sockets: int
+    profiles: Mapping[str, int]  # the place of each profile's name
+    zones: Mapping[str, int]
+    connect_within: int
+    idle_close: int
+    load_fields: tuple[str, ...]
+    service: str  # how machines call what we stand in front of
+    news: Mapping[str, Any] | None  # the platform's word at the start, in its own form
+    known: Mapping[str, Any] | None  # the list at the start, in discovery's form
+
+
+def read_station(environ: Mapping[str, str], path: str | None = None) -> Station:
+    path = path or environ.get("LB_CONFIG")
+    if not path:
+        raise Misplaced("LB_CONFIG: not set, and no --config given")
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        raise Misplaced(f"LB_CONFIG: {path}: {os.strerror(error.errno or 0)}") from None
+    try:
+        given = orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        raise Misplaced(f"LB_CONFIG: {path}: not JSON: {error}") from None
+    if not isinstance(given, dict):
+        raise Misplaced(f"LB_CONFIG: {path}: not a JSON object")
+    return check_station({**{key: environ[name] for key, name in
+                             (("name", "LB_NAME"), ("listen", "LB_LISTEN"), ("discovery", "LB_DISCOVERY"))
+                             if name in environ}, **given})
+
+
+def check_station(given: Mapping[str, Any]) -> Station:
+    settings = _at(given, "settings", dict)
+    seed = _at(given, "seed", str, "0")
+    try:
+        seeded = int(seed, 16)
+    except ValueError:
+        raise Misplaced(f"seed: not a hexadecimal number: {seed!r}") from None
+    rows = _at(settings, "request_classes", list, within="settings.")
+    for place, row in enumerate(rows):
+        where = f"settings.request_classes[{place}]"
+        if not isinstance(row, dict):
+            raise Misplaced(f"{where}: not an object")
+        for key, kind in (("name", str), ("aim_ms", float), ("give_up_ms", float), ("repeat", str)):
+            _at(row, key, kind, within=where + ".")
+    limits = _at(settings, "limits", dict, {}, within="settings.")
+    for part in ("rules", "domain"):
+        _at(settings, part, dict, {}, within="settings.")
+    try:
+        charter = read_charter(seeded, settings)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise Misplaced(f"settings: {type(error).__name__}: {error}") from None
+    zones = _at(settings, "zones", list, [], within="settings.")
+    reports = _at(settings, "load_info", dict, {}, within="settings.")
+    api = _at(given, "release_api", dict)
+    sockets = _at(_at(given, "limits", dict, {}), "sockets", int, 1024, within="limits.")
+    if sockets < 32:
+        raise Misplaced(f"limits.sockets: {sockets} is fewer than the 32 that a front needs")
+    return Station(
+        name=_at(given, "name", str, "front"), listen=_address(given, "listen"), discovery=_address(given, "discovery"),
+        platform=_address(api, "address", "release_api."), charter=charter, sockets=sockets,
+        profiles={row["name"]: place for place, row in enumerate(rows)},
+        zones={name: place for place, name in enumerate(zones)},
+        connect_within=micros(_at(limits, "connect_timeout_ms", float, 1000.0, within="settings.limits.")),
+        idle_close=micros(_at(limits, "idle_close_ms", float, 10000.0, within="settings.limits.")),
+        service=_at(given, "service", str, "api.internal"),
+        load_fields=tuple(_at(reports, "fields", list, [], within="settings.load_info.")),
+        news=_at(api, "news", dict, None, within="release_api."), known=_at(given, "known", dict, None))
+
+
+_WORDS = {dict: "an object", list: "an array", str: "a text", int: "a whole number", float: "a number"}
+_NEEDED: Any = object()
+
+
+def _at(given: Mapping[str, Any], key: str, kind: type, otherwise: Any = _NEEDED, within: str = "") -> Any:
+    value = given.get(key)
+    if value is None:
+        if otherwise is _NEEDED:
+            raise Misplaced(f"{within}{key}: missing")
+        return otherwise
+    if not isinstance(value, (int, float) if kind is float else kind) or isinstance(value, bool):
+        raise Misplaced(f"{within}{key}: not {_WORDS[kind]}: {value!r:.60}")
+    return value
+
+
+def _address(given: Mapping[str, Any], key: str, within: str = "") -> Address:
+    text = _at(given, key, str, within=within)
+    if (address := read_address(text)) is None:
+        raise Misplaced(f"{within}{key}: not host:port: {text!r:.60}")
+    return address
+
+
+def read_address(text: str) -> Address | None:
+    host, _, port = text.rpartition(":")
+    return (host, int(port)) if host and port.isascii() and port.isdigit() and 0 < int(port) < 65536 else None
