--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -233,7 +233,7 @@
             machine.fails += (failed - machine.fails) * LEARN
 
     def _score(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
-        """Threat: queries that fail everywhere look like a bad build. Errors count once done well elsewhere."""
+        """Threat: queries that fail everywhere look like a bad build: errors count once done well elsewhere."""
         profile, good = self.charter.profiles[held.profile], ending is Ending.OK
         twice = ending is Ending.ERROR and held.errors >= ENOUGH
         self.in_row = 0 if good else self.in_row + twice
