--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+PYTHON = .venv/bin/python
+
+.PHONY: build test lint run
+
+build:
+	cmp -s requirements.txt .venv/requirements.txt || \
+	  (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/)
+
+test: build
+	$(PYTHON) -m tests
+
+lint: build
+	.venv/bin/pip -q install -r requirements-lint.txt
+	.venv/bin/ruff check .
+
+# LB_CONFIG names the configuration
+run: build
+	$(PYTHON) -m umbermoor serve
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -22,6 +22,8 @@
                                  Readiness, Repeat, Verdict)
 from umbermoor.rules import Front
 
+from tests.town import READS, Town
+
 MS = 1000
 PLAIN = Charter(
     me=0, fronts=1, seed=7, zone=0, profiles=(), list_asked=False, may_probe=False, may_tell=False, may_copy=False,
@@ -49,6 +51,7 @@
         self.out: dict[str, list[tuple[str, int]]] = {}
         self.taken = 0
         self.lines: list[str] = []
+        self.town: Town | None = None
 
     def charter(self, text: str) -> Charter:
         values: dict = {}
@@ -146,6 +149,13 @@
         elif verb in (">", "!"):
             found = any(fnmatchcase(made, " ".join(rest)) for made in self.made)
             assert found == (verb == ">"), f"{text!r}: {self.made[-12:]}"
+        elif verb in READS:
+            self.made = READS[verb](text.partition(" ")[2])
+        elif verb == "town":
+            self.town = Town(" ".join(rest))
+            self.made = self.town.made
+        elif self.town:
+            self.town.line(int(verb), text.partition(" ")[2])
         elif verb == "wire":
             sink, said = io.BytesIO(), io.StringIO()
             self.lines.append(text.partition(" ")[2])
--- /dev/null
+++ b/tests/town.py
@@ -0,0 +1,283 @@
+"""What scenarios need beyond the module: parsers read in every split, and a whole front among in-memory parties.
+
+A town's lines read ``time party what``; parties are clients (c1, c2 ...), machines by their ids, ``discovery``,
+``stream`` and ``vote``. What the front does is noted as ``party what``.
+"""
+
+import logging
+from typing import Callable, Iterator
+
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+
+from umbermoor.http1.buffers import Buffers
+from umbermoor.http1.reader import Piece, Reader
+from umbermoor.http1.writer import write_request, write_response
+from umbermoor.logs import KeyValues
+from umbermoor.node.formats import Element, EventStream, read_form, read_xml
+from umbermoor.node.service import Service
+from umbermoor.station import Misplaced, check_station
+
+GIVEN = {
+    "name": "n1", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500", "seed": "2a",
+    "limits": {"sockets": 200}, "release_api": {"address": "127.0.0.1:6400", "news": {
+        "Revision": 1, "Wave": 1, "State": "released", "MaxShare": 1.0, "AgeMs": 0}},
+    "settings": {
+        "request_classes": [
+            {"name": "look", "aim_ms": 1000, "give_up_ms": 4000, "repeat": "repeatable"},
+            {"name": "book", "aim_ms": 1200, "give_up_ms": 4000, "repeat": "once"}],
+        "limits": {"try_limit": 5, "connect_timeout_ms": 250, "idle_close_ms": 30000, "cancelling": True,
+                   "parallel_tries": True, "retry_after": True, "max_retry_after_ms": 500},
+        "rules": {"stop_sending_within_ms": 1000, "cold_from": 0.33, "warm_within_ms": 4400, "overload_factor": 2.5,
+                  "fall_ms": 3000},
+        "domain": {"gate_mode": "any", "to_advance": 1, "back_votes": 1, "vote_life_ms": 10000, "vote_wait_ms": 1200,
+                   "least_stage_ms": 3000, "stage_cap": [0.5, 1.0], "guarded_stages": 1, "spare_tries": 1.0}}}
+
+
+FAULTS: list[str] = []  # what the front has logged as its own fault
+
+
+class _Faults(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        FAULTS.append(KeyValues().format(record))
+
+
+logging.getLogger("umbermoor").addHandler(_Faults(logging.ERROR))
+logging.getLogger("umbermoor").propagate = False
+
+
+def plain(text: str) -> bytes:
+    return text.encode().decode("unicode_escape").encode("latin-1")
+
+
+def splits(data: bytes) -> Iterator[list[bytes]]:
+    yield [data]
+    yield [data[at:at + 1] for at in range(len(data))]
+    for at in range(1, len(data)):
+        yield [data[:at], data[at:]]
+
+
+def every_split(data: bytes, read: Callable[[list[bytes]], list[str]]) -> list[str]:
+    whole, *others = (read(parts) for parts in splits(data))
+    assert all(other == whole for other in others), f"splits differ: {whole} {others}"
+    return whole
+
+
+def messages(text: str, responses: bool = False, as_pieces: bool = False) -> list[str]:
+    def read(parts: list[bytes]) -> list[str]:
+        buffers = Buffers()
+        reader = Reader(buffers, responses, as_pieces)
+        found = [one for part in parts for one in reader.feed(part)]
+        assert (buffers.out > 0) == (reader._buffer is not None) and (buffers.out == 0 or reader.midway)
+        found += [one for one in [reader.end()] if one]
+        reader.drop()
+        assert buffers.out == 0
+        if as_pieces:
+            return [b"".join(one.data for one in found if isinstance(one, Piece)).decode()]
+        return [" ".join(str(part) for part in one) for one in found]
+    return every_split(plain(text), read)
+
+
+def events(text: str) -> list[str]:
+    def read(parts: list[bytes]) -> list[str]:
+        stream = EventStream()
+        return [f"{one.kind} {one.data}" for part in parts for one in stream.feed(part)]
+    return every_split(plain(text), read)
+
+
+def _shown(element: Element) -> str:
+    return f"{element.name}({element.text}{' '.join(map(_shown, element.inner))})"
+
+
+def xml(text: str) -> list[str]:
+    element = read_xml(plain(text))
+    return [_shown(element) if element else "none"]
+
+
+def station(text: str) -> list[str]:
+    """A path into the configuration and a value, or nothing for a missing one: what is said of it."""
+    path, _, value = text.partition(" ")
+    *way, last = path.split(".")
+
+    def changed(given: dict, way: list[str]) -> dict:
+        if way:
+            return {**given, way[0]: changed(given[way[0]], way[1:])}
+        return {key: one for key, one in {**given, last: eval(value or "None")}.items() if one is not None}
+
+    try:
+        return [f"ok {check_station(changed(GIVEN, way)).name}"]
+    except Misplaced as fault:
+        return [str(fault)]
+
+
+READS: dict[str, Callable[[str], list[str]]] = {
+    "request": messages, "response": lambda text: messages(text, True), "events": events, "xml": xml,
+    "pieces": lambda text: messages(text, True, True), "form": lambda text: [str(read_form(text))], "given": station}
+
+
+class Pipe:
+    """A connection's near end. It writes at once, or holds the rest of a request back until told to."""
+
+    def __init__(self, town: "Town", party: str, protocol) -> None:
+        self.town, self.party, self.protocol, self.producer, self.gone = town, party, protocol, None, False
+        self.held = False
+        protocol.makeConnection(self)
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        pass
+
+    def registerProducer(self, producer, streaming: bool) -> None:
+        self.producer, self.held = producer, self.party in self.town.slow
+        producer.resumeProducing()
+        if not self.held:
+            self.flush()
+
+    def flush(self) -> None:
+        self.held = False
+        if self.producer:
+            self.producer.resumeProducing()
+
+    def unregisterProducer(self) -> None:
+        self.producer = None
+
+    def write(self, data: bytes) -> None:
+        assert not self.gone
+        self.town.wrote(self.party, data)
+
+    def receive(self, data: bytes) -> None:
+        if not self.gone:
+            self.protocol.dataReceived(data)
+
+    def end(self) -> None:
+        if not self.gone:
+            self.gone = True
+            self.town.pipes.get(self.party, []).remove(self)
+            self.protocol.connectionLost(Failure(ConnectionDone()))
+
+    def abortConnection(self) -> None:
+        self.town.note(f"{self.party} closed")
+        self.town.reactor.callLater(0, self.end)
+
+    loseConnection = loseWriteConnection = abortConnection
+
+
+class Town:
+    def __init__(self, wants: str) -> None:
+        self.reactor, self.made = MemoryReactorClock(), []
+        self.pipes: dict[str, list[Pipe]] = {}
+        self.waiting: dict[str, list] = {}  # connections that have not come up yet
+        self.slow: set[str] = set()  # parties to whom the last byte is not written at once
+        self.ports: dict[int, str] = {8500: "discovery"}
+        self.known = 0
+        self.broken = False  # faults are expected
+        given = dict(GIVEN)
+        if "sockets" in wants:
+            given["limits"] = {"sockets": 40}
+        self.service = Service(self.reactor, check_station(given), lambda: round(self.reactor.seconds() * 1e6) + 10**9)
+        self.reactor.stop = lambda: self.note("exit")
+        self.service.start()
+        self.service._port.doRead = self.service._port.stopReading = self.service._port.startReading = lambda: None
+        self.look()
+
+    def note(self, text: str) -> None:
+        self.made.append(text)
+
+    def wrote(self, party: str, data: bytes) -> None:
+        if party.startswith("c"):
+            responses = Reader(Buffers(), responses=True).feed(data)
+            for one in responses:
+                advice = one.headers.get("retry-after", "")
+                self.note(" ".join(filter(None, [party, str(one.status), one.body.decode(), advice,
+                                                 "" if one.keep else "last"])))
+        else:
+            first, _, rest = data.decode().partition(" HTTP/1.1\r\n")
+            head, _, body = rest.partition("\r\n\r\n")
+            txn = [line[7:] for line in head.split("\r\n") if line.startswith("X-Txn: ")]
+            self.note(" ".join([party, first, *txn, body]).strip())
+
+    def look(self) -> None:
+        """Takes up what the front has begun to connect."""
+        for _, port, factory, within, _ in self.reactor.tcpClients[self.known:]:
+            party = self.ports.get(port) or ("vote" if self.pipes.get("stream") else "stream")
+            self.known += 1
+            self.waiting.setdefault(party, []).append(factory)
+            self.reactor.callLater(within, self.refuse, party, factory)
+            if party in ("discovery", "stream", "vote"):
+                self.act(party, "accept", "")
+            else:
+                self.note(f"{party} connects")
+
+    def line(self, at: int, words: str) -> None:
+        self.made.clear()
+        FAULTS.clear()
+        while (gap := at / 1000 - self.reactor.seconds()) > 0:
+            self.reactor.advance(min(gap, 0.01))
+            self.look()
+        party, _, rest = words.partition(" ")
+        verb, _, rest = rest.partition(" ")
+        self.act(party, verb, rest)
+        self.reactor.advance(0)
+        self.look()
+        assert party == "fault" or self.broken or not FAULTS, FAULTS
+
+    def act(self, party: str, verb: str, rest: str) -> None:
+        pipes = self.pipes.setdefault(party, [])
+        if party == "term":
+            self.service.drain()
+        elif party == "fault":  # fault front's call: it raises from now on
+            self.broken = True
+            setattr(self.service._exchange._desk._front, verb, lambda *_: 1 / 0)
+        elif verb == "accept":
+            factory = self.waiting[party].pop(0)
+            pipes.append(Pipe(self, party, factory.buildProtocol(None)))
+        elif verb == "refuse":
+            self.refuse(party, self.waiting[party][0])
+        elif verb == "slow":
+            self.slow.add(party)
+        elif verb == "written":
+            pipes[-1].flush()
+        elif verb == "break":
+            pipes[-1].end()
+        elif verb == "answer":  # answer status body [header=value ...]
+            status, body, *headers = (rest + " -").split(" ")[:2] + rest.split(" ")[2:]
+            pipes[-1].receive(write_response(int(status), b"" if body == "-" else body.encode(), headers=dict(
+                header.split("=") for header in headers)))
+        elif verb == "list":  # list version whole|changes machine:build[:state] ...
+            version, whole, *machines = rest.split()
+            hosts = []
+            for name, build, state in ((one.split(":") + ["SERVING"])[:3] for one in machines):
+                port = 1000 + sum(name.encode()) + 300 * int(build)
+                self.ports[port] = name
+                hosts.append(f'{{"host":"{name}","dial":"127.0.0.2:{port}","health":"{state}","born_ms":0,'
+                             f'"build":{build},"site":"a","class":"m","block":1,"share":1.0}}')
+            body = f'{{"seq":{version},"whole":{str(whole == "whole").lower()},"hosts":[{",".join(hosts)}]}}'
+            pipes[-1].receive(write_response(200, body.encode()))
+        elif verb == "event":  # event kind data
+            kind, _, data = rest.partition(" ")
+            piece = f"event: {kind}\ndata: {data}\n\n".encode()
+            if not hasattr(pipes[-1], "begun"):
+                pipes[-1].begun = True
+                pipes[-1].receive(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            pipes[-1].receive(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
+        elif verb == "raw":
+            self.up(party)
+            self.pipes[party][-1].receive(plain(rest))
+        elif verb in ("look", "book"):  # a query: its id, and how long its client waits
+            self.up(party)
+            query, waits = (rest.split() + ["4"])[:2]
+            headers = {"X-Txn": query, "X-Lane": verb, "X-Remaining": waits}
+            self.pipes[party][-1].receive(write_request(*(("GET", "/api", "api", headers) if verb == "look" else (
+                "POST", "/api", "api", headers, b"order"))))
+        elif party != "wait":
+            raise AssertionError(f"no verb {verb!r}")
+
+    def refuse(self, party: str, factory) -> None:
+        if factory in self.waiting[party]:
+            self.waiting[party].remove(factory)
+            factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+
+    def up(self, party: str) -> None:
+        if not self.pipes[party]:
+            factory = self.reactor.tcpServers[0][1]
+            self.pipes[party].append(Pipe(self, party, factory.buildProtocol(None)))
--- a/umbermoor/facade.py
+++ b/umbermoor/facade.py
@@ -82,10 +82,9 @@
 
 
 class Connected(NamedTuple):
-    """A hand-off had to wait for its connection. The answer holds its Go again if it may still be sent."""
+    """This hand-off had to wait for its connection. The answer holds it again if it may still be sent."""
 
-    query: str
-    number: int
+    go: Go
 
 
 class Ended(NamedTuple):
@@ -166,8 +165,8 @@
     def report(self, heard: Heard) -> list[Step]:
         now, front = self._clock(), self._front
         match heard:
-            case Connected(query, number):
-                return [Go(query, number, "", 0)] if front.may_still(now, query, number) else []
+            case Connected(go):
+                return [go] if front.may_still(now, go.query, go.number) else []
             case Ended(query, number, machine, ending, took):
                 front.hand_off_ended(now, query, number, machine, ending, took, ending is Ending.OK)
                 if ending is Ending.OK:
--- a/umbermoor/node/budget.py
+++ b/umbermoor/node/budget.py
@@ -2,7 +2,8 @@
 
 from typing import Callable
 
-RESERVE = 24  # descriptors for the control addresses, the listener, the log and the reactor itself
+RESERVE = 32  # descriptors for the control addresses, the listener, the log, the reactor itself, and for clients
+OVER_MOST = 12  # beyond the budget, who are only told to come back
 
 
 class Budget:
--- a/umbermoor/node/clients.py
+++ b/umbermoor/node/clients.py
@@ -15,13 +15,14 @@
 from umbermoor.http1.writer import write_response
 from umbermoor.interface import Repeat
 from umbermoor.logs import note
-from umbermoor.node.budget import Budget
+from umbermoor.node.budget import OVER_MOST, Budget
 
 log = logging.getLogger(__name__)
 
 WAY = 2_000  # microseconds that an answer may need to its client
 LONGEST = 3600.0  # seconds; a client that says it waits longer is not believed
 QUEUED = 16  # requests that may stand behind the one in work on a connection
+LINGER = 1.0  # seconds that a client has to close after its last answer
 READ_WITHIN = 10.0  # seconds from a request's first byte to its last
 
 
@@ -49,6 +50,8 @@
         self.reactor, self.clock, self.buffers, self.budget, self.ask = reactor, clock, buffers, budget, ask
         self.profiles, self.repeats = profiles, repeats
         self.up = self.leaving = False
+        self.over = 0  # connections beyond the budget
+        self.accept: Callable[[bool], None] = lambda on: None  # whether to accept further ones
         self.open: dict[Client, None] = {}  # the one that spoke last stands last
         budget.spare.append(self.close_one)
 
@@ -62,6 +65,12 @@
             idle.close()
         return idle is not None
 
+    def count_over(self, change: int) -> None:
+        """Threat: a burst takes the last descriptor, and accepting fails. What waits is kept by the kernel."""
+        was, self.over = self.over >= OVER_MOST, self.over + change
+        if was != (self.over >= OVER_MOST):
+            self.accept(was)
+
     def close_idle(self) -> None:
         for client in list(self.open):
             if client.idle:
@@ -105,6 +114,8 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self._counted = self._clients.budget.take()
+        if not self._counted:
+            self._clients.count_over(1)
         self._clients.open[self] = None
 
     def dataReceived(self, data: bytes) -> None:
@@ -129,6 +140,8 @@
         self._clients.open.pop(self, None)
         if self._counted:
             self._clients.budget.give()
+        else:
+            self._clients.count_over(-1)
         if self._working is not None:
             self._working.cancel()
 
@@ -153,12 +166,7 @@
             if isinstance(found, Answer):
                 self._answer(found, read.keep)
                 continue
-            try:
-                self._working = working = self._clients.ask(found)
-            except Exception:
-                log.exception("fault in a query")
-                self._answer(Answer(500), False)
-                continue
+            self._working = working = self._clients.ask(found)
             working.addCallbacks(self._answered, self._faulted, callbackArgs=(read.keep,))
 
     def _answered(self, answer: Answer, keep: bool) -> None:
@@ -178,11 +186,19 @@
         keep = keep and not self._clients.leaving
         self.transport.write(write_response(answer.status, answer.body, keep, answer.headers))
         if not keep:
-            self.close()
+            self._linger()
+
+    def _linger(self) -> None:
+        """Closes once the client has. Threat: closing over unread bytes resets the connection under the answer."""
+        self._closing = True
+        self._drop_timer()
+        self._reader.drop()
+        self.transport.loseWriteConnection()
+        self._timer = self._clients.reactor.callLater(LINGER, self.transport.abortConnection)
 
     def _too_slow(self) -> None:
         self._timer = None
-        if self._reader.midway and self._working is None:
+        if self._reader.midway and self._working is None and not self._closing:
             self._answer(Answer(408), False)
 
     def _drop_timer(self) -> None:
--- a/umbermoor/node/discovery.py
+++ b/umbermoor/node/discovery.py
@@ -12,7 +12,7 @@
 from umbermoor.interface import Entry, Listing, Readiness
 from umbermoor.logs import note
 from umbermoor.node.lines import SECOND, Attempt, Line
-from umbermoor.node.outcomes import Outcome
+from umbermoor.node.outcomes import Outcome, shown
 from umbermoor.station import Address, read_address
 
 log = logging.getLogger(__name__)
@@ -33,19 +33,21 @@
 
 
 def read_list(given: Any, zones: Mapping[str, int]) -> News | None:
-    """A list in discovery's form; none where it cannot be read. An entry that cannot be read says nothing."""
+    """A list in discovery's form; none where it cannot be read. An entry that cannot be read says nothing, not even
+    that a machine which the whole list lacks is gone."""
     if not isinstance(given, dict) or not isinstance(given.get("hosts"), list) or not _whole(given.get("seq")):
         return None
-    entries, addresses = [], {}
+    entries, addresses, whole = [], {}, given.get("whole") is True
     for host in given["hosts"]:
         entry = _entry(host, zones) if isinstance(host, dict) else None
         if entry is None:
             note(log, "entry not read", logging.WARNING, entry=repr(host)[:120])
+            whole = False
             continue
         entries.append(entry)
         if address := read_address(str(host.get("dial", ""))):
             addresses[entry.machine] = address
-    return News(given["seq"], given.get("whole") is True, entries, addresses)
+    return News(given["seq"], whole, entries, addresses)
 
 
 def _whole(value: Any) -> bool:
@@ -64,16 +66,18 @@
 
 class Discovery:
     def __init__(self, reactor, buffers: Buffers, address: Address, zones: Mapping[str, int],
-                 told: Callable[[Listing, News | None], None]) -> None:
+                 told: Callable[[Listing, News], None]) -> None:
         self._reactor, self._buffers, self._address, self._zones, self._told = reactor, buffers, address, zones, told
         self._version: int | None = None  # of the list that we hold; none: the whole is asked for
         self._line: Line | None = None
         self._again = AGAIN_FIRST
         self._asking: Deferred[Outcome] | None = None
-        self._stopped = False
+        self._started = self._stopped = False
 
     def start(self) -> None:
-        if self._asking is None and not self._stopped:
+        """The watch goes on from here for good; a further call changes nothing."""
+        if not self._started:
+            self._started = True
             self._ask()
 
     def stop(self) -> None:
@@ -102,10 +106,9 @@
             return
         news = self._read(outcome)
         if news is None:
-            note(log, "list not read", logging.WARNING, outcome=repr(outcome)[:120])
+            note(log, "list not read", logging.WARNING, outcome=shown(outcome))
             if self._line is not None:
                 self._line.close()
-            self._told(Listing.FAILED, None)
             self._reactor.callLater(self._again, self._ask)
             self._again = min(AGAIN_MOST, 2 * self._again)
             return
@@ -120,8 +123,7 @@
             news = read_list(orjson.loads(outcome.body), self._zones)
         except orjson.JSONDecodeError:
             return None
-        if news is None or self._version is not None and news.version < self._version or (
-                self._version is None and not news.whole):
+        if news is None or self._version is not None and news.version < self._version:
             self._version = None  # it has gone back, or cannot be read: the whole list tells
             return None
         self._version = news.version
--- a/umbermoor/node/exchange.py
+++ b/umbermoor/node/exchange.py
@@ -20,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 SECOND = 1_000_000
+LOST_EVERY = SECOND  # between two lines in the log on the same machine
 
 
 class _Held:
@@ -45,6 +46,7 @@
         self._timer = None
         self._timer_at = 0
         self._stage: tuple | None = None
+        self._lost: dict[str, int] = {}  # when the log last had a machine's trouble
         self._do: dict[type, Callable] = {
             Go: self._go, Stop: self._stop, Denied: self._denied, Abandoned: self._abandoned, Vote: self._vote,
             Watch: lambda _: self.watch(), Probe: self._probe, Held: lambda _: None,
@@ -61,10 +63,12 @@
             return answer
         self.held[id] = _Held(query, answer)
         try:
-            self._follow([self._desk.pick(query.asked)])
+            fate = self._desk.pick(query.asked)
         except Exception:
+            log.exception("fault in a query")
             self._give_up(id)
-            raise
+        else:
+            self._follow([fate])
         return answer
 
     def _left(self, id: str) -> None:
@@ -73,7 +77,7 @@
 
     def _give_up(self, id: str) -> None:
         """After a fault of ours: nothing more for this query, whose client is told that it failed."""
-        self.held.pop(id, None)
+        self._answer(id, Answer(500))
         for key in [key for key in self._out if key[0] == id]:
             self._out[key].cancel()
 
@@ -82,10 +86,7 @@
     def report(self, heard: Heard) -> None:
         self._follow(self._desk.report(heard))
 
-    def listed(self, kind: Listing, news: lists.News | None) -> None:
-        if news is None:
-            self.report(Listed(kind, ()))
-            return
+    def listed(self, kind: Listing, news: lists.News) -> None:
         whole = kind is not Listing.CHANGES
         self._machines.listed(whole, {
             entry.machine: (news.addresses[entry.machine], entry.readiness is Readiness.READY)
@@ -117,7 +118,11 @@
         try:
             while self._steps:
                 step = self._steps.popleft()
-                self._do[type(step)](step)
+                try:
+                    self._do[type(step)](step)
+                except Exception:  # it stops here: other queries' steps go on
+                    log.exception("fault in a step")
+                    self._give_up(getattr(step, "query", ""))
         finally:
             self._following = False
             self._arm()
@@ -153,7 +158,7 @@
                    "X-Remaining": f"{max(0, step.limit) / SECOND:.3f}"}
         outcome = self._machines.hand_off(
             step.machine, request.method, request.target, headers, request.body, step.limit,
-            lambda: bool(self._desk.report(Connected(*key))))
+            lambda: bool(self._desk.report(Connected(step))))
         self._out[key] = outcome
         outcome.addCallback(self._ended, step, sent).addErrback(self._faulted, step.query)
 
@@ -162,14 +167,18 @@
         how = ending(outcome)
         if how is Ending.OK and isinstance(outcome, Response):
             self._answer(step.query, Answer(200, outcome.body))
+        elif how in (Ending.CONNECT_FAILED, Ending.RESET):
+            self._note_loss(step.machine, how)
         self.report(Ended(step.query, step.number, step.machine, how, self._clock() - sent))
 
+    def _note_loss(self, machine: str, how: Ending) -> None:
+        if self._clock() > self._lost.get(machine, 0) + LOST_EVERY:
+            self._lost[machine] = self._clock()
+            note(log, "machine lost", logging.WARNING, machine=machine, ending=how.name.lower())
+
     def _faulted(self, failure, id: str) -> None:
         log.error("fault in a hand-off", exc_info=(failure.type, failure.value, failure.getTracebackObject()))
-        held = self.held.get(id)
         self._give_up(id)
-        if held:
-            held.answer.callback(Answer(500))
 
     def _stop(self, step: Stop) -> None:
         if outcome := self._out.get((step.query, step.number)):
--- a/umbermoor/node/outcomes.py
+++ b/umbermoor/node/outcomes.py
@@ -40,6 +40,13 @@
     for progress in Progress for cause in Cause}
 
 
+def shown(outcome: Outcome) -> str:
+    """For the log."""
+    if isinstance(outcome, Failed):
+        return f"{outcome.progress.name.lower()}/{outcome.cause.name.lower()}"
+    return f"{outcome.status} {outcome.body[:80]!r}"
+
+
 def ending(outcome: Outcome) -> Ending:
     """Of a hand-off to a machine."""
     if isinstance(outcome, Failed):
--- a/umbermoor/node/platform.py
+++ b/umbermoor/node/platform.py
@@ -9,13 +9,12 @@
 from umbermoor.charter import micros
 from umbermoor.facade import Complaint, Tally, Vote
 from umbermoor.http1.buffers import Buffers
-from umbermoor.http1.reader import Response
 from umbermoor.http1.writer import write_request
 from umbermoor.interface import Ending, News, Phase, Verdict
 from umbermoor.logs import note
 from umbermoor.node.formats import Event, EventStream, read_form, read_xml, write_form
 from umbermoor.node.lines import SECOND, Attempt, Line
-from umbermoor.node.outcomes import Failed, Outcome, Progress
+from umbermoor.node.outcomes import Failed, Outcome, Progress, shown
 from umbermoor.station import Address
 
 log = logging.getLogger(__name__)
@@ -134,7 +133,7 @@
     def lost(self, stream: "_Stream", outcome: Outcome) -> None:
         if stream in self._streams:
             self._streams.remove(stream)
-            note(log, "stream lost", outcome=repr(outcome)[:120])
+            note(log, "stream lost", outcome=shown(outcome))
             if not self._streams:
                 self._reactor.callLater(self._again, lambda: self._streams or self.start())
                 self._again = min(AGAIN_MOST, 2 * self._again)
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -25,8 +25,10 @@
 
 BACKLOG = 1024  # connections that the kernel holds while the front is busy
 UP_WITHIN = 1.0  # seconds; then it is up with what it was given at the start
-LISTEN_ON = 0.55  # seconds after SIGTERM in which new connections may still come
-DRAIN_CHECK = 0.02
+LISTEN_ON = 0.5  # seconds after SIGTERM in which new connections may still come
+ACCEPT_TURNS = 3  # a turn takes what came to wait in the last; the last ones find nothing
+READ_ON = 0.1  # seconds for what these last connections bring
+DRAIN_CHECK = 0.02  # seconds
 
 
 class Clock:
@@ -73,12 +75,13 @@
         self._platform.start()
         host, port = station.listen
         self._port = self._reactor.listenTCP(port, self._clients, BACKLOG, host)
+        self._clients.accept = lambda on: (self._port.startReading if on else self._port.stopReading)()
         self._reactor.callLater(UP_WITHIN, self._go_up)
         self._exchange.tick()
 
     def _listed(self, kind, news) -> None:
         self._exchange.listed(kind, news)
-        self._hear("list" if news else "")
+        self._hear("list")
 
     def _told(self, news) -> None:
         self._exchange.told(news)
@@ -102,10 +105,12 @@
             self._reactor.callLater(LISTEN_ON, self._stop_listening)
 
     def _stop_listening(self) -> None:
-        # Threat: closing the listener resets what the kernel has accepted. All of that is taken first.
-        self._port.doRead()
+        # Threat: closing the listener resets what the kernel has accepted. All of that is taken first, and read.
+        for _ in range(ACCEPT_TURNS):
+            self._port.doRead()
+        self._clients.accept = lambda on: None
         self._port.stopListening()
-        self._leave()
+        self._reactor.callLater(READ_ON, self._leave)
 
     def _leave(self) -> None:
         self._clients.close_idle()
--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -233,7 +233,7 @@
             machine.fails += (failed - machine.fails) * LEARN
 
     def _score(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
-        """Threat: queries that fail everywhere look like a bad build: errors count once done well elsewhere."""
+        """Threat: queries that fail everywhere look like a bad build: errors count if done well elsewhere."""
         profile, good = self.charter.profiles[held.profile], ending is Ending.OK
         twice = ending is Ending.ERROR and held.errors >= ENOUGH
         self.in_row = 0 if good else self.in_row + twice
@@ -481,7 +481,7 @@
         vote = (news.build, news.stage, verdict)
         if vote == self.standing and now < self.stood_at + RENEW * self.charter.vote_life:
             return None
-        if vote != self.noted and verdict is Verdict.BACK:
+        if vote != self.noted:
             self.noted = vote
             return (Do.NOTE, f"votes {verdict.name}: {news}; {self._sight()}")
         self.asked, self.asked_at = vote, now
--- a/umbermoor/station.py
+++ b/umbermoor/station.py
@@ -12,6 +12,8 @@
 
 Address = tuple[str, int]
 
+SOCKETS_LEAST = 40  # with fewer nothing is left for clients and machines
+
 
 class Misplaced(Exception):
     """The configuration cannot be used; the text names the key."""
@@ -79,8 +81,8 @@
     reports = _at(settings, "load_info", dict, {}, within="settings.")
     api = _at(given, "release_api", dict)
     sockets = _at(_at(given, "limits", dict, {}), "sockets", int, 1024, within="limits.")
-    if sockets < 32:
-        raise Misplaced(f"limits.sockets: {sockets} is fewer than the 32 that a front needs")
+    if sockets < SOCKETS_LEAST:
+        raise Misplaced(f"limits.sockets: {sockets} is fewer than the {SOCKETS_LEAST} that a front needs")
     return Station(
         name=_at(given, "name", str, "front"), listen=_address(given, "listen"), discovery=_address(given, "discovery"),
         platform=_address(api, "address", "release_api."), charter=charter, sockets=sockets,
