--- a/umbermoor/node/exchange.py
+++ b/umbermoor/node/exchange.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.defer import Deferred
 
-from umbermoor.facade import (Abandoned, Connected, Denied, Desk, Ended, Go, Heard, Held, Left, Listed, Note, Probe,
+from umbermoor.facade import (Abandoned, Complaint, Connected, Denied, Desk, Ended, Go, Heard, Held, Left, Listed, Note, Probe,
                               Probed, Step, Stop, Tell, Vote, Watch)
 from umbermoor.http1.reader import Response
 from umbermoor.interface import Ending, Listing, News, Readiness
@@ -100,6 +100,8 @@
         """What the platform tells unasked."""
         if isinstance(news, News):
             self._note_stage(news)
+        elif isinstance(news, Complaint):
+            note(log, "complaint", machine=news.machine, profile=news.profile, age_ms=news.age // 1000)
         self.report(news)
 
     def _note_stage(self, news: News) -> None:
