--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 build:
 	cmp -s requirements.txt .venv/requirements.txt || \
 	  (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/)
+	$(PYTHON) -m compileall -q umbermoor
 
 test: build
 	$(PYTHON) -m tests
--- a/tests/town.py
+++ b/tests/town.py
@@ -11,6 +11,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from umbermoor.facade import Probe, Probed
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Piece, Reader
 from umbermoor.http1.writer import write_request, write_response
@@ -27,6 +28,7 @@
         "request_classes": [
             {"name": "look", "aim_ms": 1000, "give_up_ms": 4000, "repeat": "repeatable"},
             {"name": "book", "aim_ms": 1200, "give_up_ms": 4000, "repeat": "once"}],
+        "load_info": {"fields": ["inflight"], "how": "probe"},
         "limits": {"try_limit": 5, "connect_timeout_ms": 250, "idle_close_ms": 30000, "cancelling": True,
                    "parallel_tries": True, "retry_after": True, "max_retry_after_ms": 500},
         "rules": {"stop_sending_within_ms": 1000, "cold_from": 0.33, "warm_within_ms": 4400, "overload_factor": 2.5,
@@ -176,6 +178,10 @@
             given["limits"] = {"sockets": 40}
         self.service = Service(self.reactor, check_station(given), lambda: round(self.reactor.seconds() * 1e6) + 10**9)
         self.reactor.stop = lambda: self.note("exit")
+        report = self.service._exchange._desk.report
+        self.service._exchange._desk.report = lambda heard: (
+            isinstance(heard, Probed) and self.note(f"probed {heard.machine} {heard.ending.name.lower()} {heard.load}"),
+            report(heard))[1]
         self.service.start()
         self.service._port.doRead = self.service._port.stopReading = self.service._port.startReading = lambda: None
         self.look()
@@ -225,6 +231,8 @@
         pipes = self.pipes.setdefault(party, [])
         if party == "term":
             self.service.drain()
+        elif party == "probe":  # probe machine: as the module may ask
+            self.service._exchange._follow([Probe(verb)])
         elif party == "fault":  # fault front's call: it raises from now on
             self.broken = True
             setattr(self.service._exchange._desk._front, verb, lambda *_: 1 / 0)
--- a/umbermoor/node/exchange.py
+++ b/umbermoor/node/exchange.py
@@ -6,8 +6,8 @@
 
 from twisted.internet.defer import Deferred
 
-from umbermoor.facade import (Abandoned, Complaint, Connected, Denied, Desk, Ended, Go, Heard, Held, Left, Listed, Note, Probe,
-                              Probed, Step, Stop, Tell, Vote, Watch)
+from umbermoor.facade import (Abandoned, Complaint, Connected, Denied, Desk, Ended, Go, Heard, Held, Left, Listed, Note,
+                              Probe, Probed, Step, Stop, Tell, Vote, Watch)
 from umbermoor.http1.reader import Response
 from umbermoor.interface import Ending, Listing, News, Readiness
 from umbermoor.logs import note
--- a/umbermoor/node/lines.py
+++ b/umbermoor/node/lines.py
@@ -1,5 +1,6 @@
 """A connection that we open: one request at a time goes out on it, and an outcome comes back."""
 
+import logging
 from typing import Callable
 
 from twisted.internet.defer import Deferred
@@ -13,6 +14,8 @@
 from umbermoor.http1.reader import Fault, Piece, Reader
 from umbermoor.node.outcomes import Cause, Failed, Outcome, Progress
 
+log = logging.getLogger(__name__)
+
 SECOND = 1_000_000
 
 
@@ -140,7 +143,11 @@
 
         endpoint = TCP4ClientEndpoint(self._reactor, *address, timeout=within / SECOND)
         self._connecting = endpoint.connect(factory)
-        self._connecting.addCallbacks(connected, failed)
+        self._connecting.addCallbacks(connected, failed).addErrback(self._faulted)
+
+    def _faulted(self, failure: Failure) -> None:
+        log.error("fault on a new connection", exc_info=(failure.type, failure.value, failure.getTracebackObject()))
+        self._end(Cause.BROKEN)
 
     def refuse(self) -> None:
         self._settle(Failed(Progress.UNCONNECTED, Cause.REFUSED))
--- a/umbermoor/node/platform.py
+++ b/umbermoor/node/platform.py
@@ -102,7 +102,7 @@
 
     def stop(self) -> None:
         self._stopped = True
-        for stream in self._streams:
+        for stream in list(self._streams):
             stream.stop()
 
     def _voted(self, outcome: Outcome, attempt: Attempt) -> News:
@@ -133,7 +133,8 @@
     def lost(self, stream: "_Stream", outcome: Outcome) -> None:
         if stream in self._streams:
             self._streams.remove(stream)
-            note(log, "stream lost", outcome=shown(outcome))
+            if not self._stopped:
+                note(log, "stream lost", outcome=shown(outcome))
             if not self._streams:
                 self._reactor.callLater(self._again, lambda: self._streams or self.start())
                 self._again = min(AGAIN_MOST, 2 * self._again)
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -66,9 +66,13 @@
         if charter.may_tell:
             note(log, "fronts may send each other messages here, but no page says how: none are sent", logging.WARNING)
         known = read_list(station.known, station.zones) if station.known else None
+        if station.known and not known:
+            note(log, "the list at the start cannot be read", logging.WARNING)
         if known:
             self._exchange.listed(Listing.CACHED, known)
         news = read_stage(station.news) if station.news else None
+        if station.news and not news:
+            note(log, "the platform's news at the start cannot be read", logging.WARNING)
         if news:
             self._exchange.told(news)
         self._discovery.start()
