--- a/umbermoor/records.py
+++ b/umbermoor/records.py
@@ -1,6 +1,6 @@
 """What one front remembers: plain records of machines, queries and outcomes. Nothing is decided here."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from math import exp
 from struct import Struct
@@ -94,6 +94,10 @@
     ended: bool = False
     copy_at: int = 0
 
+    def without(self, number: int) -> "Query":
+        """As it stood before that hand-off."""
+        return replace(self, hand_offs=[one for at, one in enumerate(self.hand_offs) if at != number])
+
     @property
     def errors(self) -> int:
         return sum(hand_off.ending is Ending.ERROR for hand_off in self.hand_offs)
@@ -104,6 +108,24 @@
         return next((hand_off for hand_off in self.hand_offs if hand_off.ending not in NEVER_RAN), None)
 
 
+@dataclass(slots=True)
+class Pace:
+    """Answer times of one side, and the work expected of those queries."""
+
+    took: float = 0.0
+    work: float = 0.0
+    n: int = 0
+
+    def add(self, took: int, work: float) -> None:
+        self.took, self.work, self.n = self.took + took, self.work + work, self.n + 1
+
+    def mean(self) -> float:
+        return self.took / self.work if self.work else 0.0
+
+    def __repr__(self) -> str:
+        return f"{self.n} pace {self.mean():.2f}"
+
+
 @dataclass(slots=True)
 class Score:
     """Outcomes of one side: how many, how many were done within the target time, how many did not fail."""
--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -1,8 +1,7 @@
 """Every decision of one front: which machine takes a query, what is given up on, and how to vote on a build.
 
-A host makes one Front from its Charter, reports what it sees through the calls (they only take note), then
-calls decide(now) until it answers None. The types and calls stand in umbermoor/interface.py, the records kept
-in umbermoor/records.py, the reasons in docs/design.md. Times are whole microseconds.
+A host makes one Front from its Charter, reports what it sees (that only takes note), and calls decide(now)
+until it answers None. Calls: umbermoor/interface.py; reasons: docs/design.md. Times: whole microseconds.
 """
 
 import heapq
@@ -14,7 +13,7 @@
 
 from umbermoor.interface import (Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase,
                                  Repeat, Verdict)
-from umbermoor.records import Contrast, Fading, HandOff, Machine, Pool, Query, Score, rank
+from umbermoor.records import Contrast, Fading, HandOff, Machine, Pace, Pool, Query, Score, rank
 
 SECOND = 1_000_000
 MOVING = (Phase.TRIAL, Phase.GOING_BACK)
@@ -32,6 +31,7 @@
 SURE = 0.965  # a mean above this is taken for this, so that s never vanishes and no lone lateness decides
 SOUND = 0.985  # and so that of those that did not fail: judged by itself, as failures drown in lateness
 DRAGGED = 1.4  # machines that take this many times as long as before the trial hold up the release
+SLOWER = 1.3  # a build whose warm machines take so many times as long, less 2/sqrt(n) of it, goes back
 HOLD = 8 * SECOND  # a release held up for this long goes back
 LINGER = 14 * SECOND  # and so does a released build once that lasts so long: no passing trouble
 RENEW = 0.7  # a vote is cast again after this share of its life
@@ -86,7 +86,7 @@
         self.pooled = charter.may_tell and charter.fronts > CIRCLE  # a few fill n* with their own traffic
         self.fleet = self.pooled or self.tallied  # n is what all saw
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
-        self.trial, self.stage = Contrast(), Pool()  # of the trial's past stages, of the present one
+        self.trial, self.stage, self.paces = Contrast(), Pool(), (Pace(), Pace())  # past stages; present one
         self.base = 0.0  # mean answer time before the trial
         self.watch_at = self.slow_since = self.started  # since when machines are slower than before the trial
         self.asked: tuple[int, int, Verdict] | None = None
@@ -168,7 +168,8 @@
             self.trial, self.base = Contrast(), self.stage.pace() if old else 0.0
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
             self.trial = self._sight()[1] if old and old.build == news.build else Contrast()
-            self.stage, self.slow_since, self.complaints = self.stage.next(), None, 0
+            self.stage, self.paces = self.stage.next(), (Pace(), Pace())  # of the earlier build, and the new
+            self.slow_since, self.complaints = None, 0
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
         if news.phase not in (Phase.TRIAL, Phase.RELEASED) or not old or news.build != old.build:
@@ -255,6 +256,8 @@
                 weight = sound or bool(wronged) or telling
                 in_time = good and sound and took <= profile.target
                 self.stage.add(self._new(build), weight, weight * in_time, weight * sound)
+                if good and sound and one.sent >= one.machine.born + self.charter.warm_within:
+                    self.paces[self._new(build)].add(took, held.cost)
 
     def _tried(self, build: int) -> bool:
         return self._new(build) and self.news.phase is Phase.TRIAL
@@ -278,8 +281,6 @@
         if not out:
             self.queries.pop(query, None)
 
-    # What is decided, one at a time.
-
     def decide(self, now: int) -> Decision | None:
         if self.started is None:
             self.started = now
@@ -356,30 +357,26 @@
     def may_still(self, now: int, query: str, number: int) -> bool:
         """Threat: what changes while a hand-off waits for its connection: the gate again, as if unsent."""
         held = self.queries.get(query)
-        if not held or (hand_off := held.hand_offs[number]).ending is not None:
+        if not held or held.hand_offs[number].ending is not None:
             return False
-        machine, sent = hand_off.machine, held.hand_offs
+        machine = held.hand_offs[number].machine
         self._charge(held, machine, -1)
-        held.hand_offs = [one for one in sent if one is not hand_off]
-        may = self.machines.get(machine.id) is machine and self._may(now, held, machine)
-        held.hand_offs = sent
+        may = self.machines.get(machine.id) is machine and self._may(now, held.without(number), machine)
         self._charge(held, machine, 1)
         return may
 
     def _may(self, now: int, held: Query, machine: Machine) -> bool:
         """The one gate of the rules: whether this query may be handed to this machine now."""
         charter, profile, hand_offs = self.charter, self.charter.profiles[held.profile], held.hand_offs
-        if (held.ended or now >= held.due or len(hand_offs) >= charter.most_hand_offs
-                or not machine.ready):  # drains: none of the grace is used
-            return False
         ran = held.ran
-        if ran and profile.repeat is Repeat.BINDING or (
-                hand_offs and hand_offs[-1].ending is None and not charter.may_copy):
-            return False
-        if ran and profile.repeat is Repeat.FINGERPRINTED and (
-                now - ran.sent >= profile.window
-                or profile.group is Group.ZONE and machine.zone != ran.machine.zone
-                or profile.group is Group.CELL and machine.cell != ran.machine.cell):
+        if (held.ended or now >= held.due or len(hand_offs) >= charter.most_hand_offs
+                or not machine.ready  # drains: none of the grace is used
+                or hand_offs and hand_offs[-1].ending is None and not charter.may_copy
+                or ran and profile.repeat is Repeat.BINDING
+                or ran and profile.repeat is Repeat.FINGERPRINTED and (
+                    now - ran.sent >= profile.window
+                    or profile.group is Group.ZONE and machine.zone != ran.machine.zone
+                    or profile.group is Group.CELL and machine.cell != ran.machine.cell)):
             return False
         if self._on_trial(machine.build):
             news = self.news
@@ -483,7 +480,7 @@
             return None
         if vote != self.noted:
             self.noted = vote
-            return (Do.NOTE, f"votes {verdict.name}: {news}; {self._sight()}")
+            return (Do.NOTE, f"votes {verdict.name}: {news}; {self._sight()} {self.paces}")
         self.asked, self.asked_at = vote, now
         return (Do.VOTE, *vote)
 
@@ -494,11 +491,14 @@
         last = news.stage >= len(self.charter.stage_caps) - 1
         if last and (ahead := self._unless_dragged(now, ahead, LINGER if released else HOLD)) is Verdict.BACK:
             return ahead
+        earlier, new = self.paces
+        sure = 1 - 2 / sqrt(new.n) if not released and min(earlier.n, new.n) >= 4 * LEAST else 0.0
+        if sure * new.mean() > SLOWER * earlier.mean():  # threat: more work, yet in time at light load
+            return Verdict.BACK
         expected = self._expected(now) * (self.charter.fronts if self.fleet else 1)
         listed = [machine.listed for machine in self.machines.values() if machine.build == news.build]
         patience = PATIENT if last else min(PATIENT, self.charter.least_stage + SECOND // 2)
-        clock = bool(listed) and now >= max(*listed, self.started) + patience
-        stage, total = self._sight()
+        clock, (stage, total) = bool(listed) and now >= max(*listed, self.started) + patience, self._sight()
         for new, earlier in ((stage.new, stage.earlier), (total.new, total.earlier)):
             spread = (_clipped(earlier.mean(released))[1] / SIGMA) ** 2
             needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
