--- a/umbermoor/node/exchange.py
+++ b/umbermoor/node/exchange.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import deque
-from typing import Callable
+from typing import Callable, NamedTuple
 
 from twisted.internet.defer import Deferred
 
@@ -23,13 +23,11 @@
 LOST_EVERY = SECOND  # between two lines in the log on the same machine
 
 
-class _Held:
+class _Held(NamedTuple):
     """A query that waits for its answer."""
 
-    __slots__ = ("query", "answer")
-
-    def __init__(self, query: Query, answer: "Deferred[Answer]") -> None:
-        self.query, self.answer = query, answer
+    query: Query
+    answer: "Deferred[Answer]"
 
 
 class Exchange:
@@ -40,7 +38,7 @@
         self.platform: Platform | None = None
         self.watch: Callable[[], None] = lambda: None
         self.held: dict[str, _Held] = {}
-        self._out: dict[tuple[str, int], Deferred[None]] = {}
+        self._out: dict[tuple[str, int], Deferred] = {}  # hand-offs, by query and number
         self._steps: deque[Step] = deque()
         self._following = False
         self._timer = None
