--- a/umbermoor/charter.py
+++ b/umbermoor/charter.py
@@ -4,7 +4,7 @@
 
 from umbermoor.interface import Charter, Control, Group, Profile, Repeat
 
-_REPEATS = {"repeatable": Repeat.RETRIABLE, "by_key": Repeat.FINGERPRINTED, "once": Repeat.BINDING}
+REPEATS = {"repeatable": Repeat.RETRIABLE, "by_key": Repeat.FINGERPRINTED, "once": Repeat.BINDING}
 
 
 def micros(ms: float | None) -> int:
@@ -15,7 +15,7 @@
     rules, limits, domain = (info.get(part) or {} for part in ("rules", "limits", "domain"))
     profiles = tuple(
         Profile(micros(row["aim_ms"]), micros(row["give_up_ms"]), row.get("late_worth") or 0.0,
-                _REPEATS[row["repeat"]], Group(row.get("group") or "all"), micros(row.get("window_ms")))
+                REPEATS[row["repeat"]], Group(row.get("group") or "all"), micros(row.get("window_ms")))
         for row in info["request_classes"])
     advised = limits.get("retry_after")
     return Charter(
--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -168,11 +168,13 @@
             return Fault(400, "garbled length")
         if length is not None and (len(length) > 9 or int(length) > BODY_MOST):
             return Fault(413, "body too large")
-        bodiless = not self._responses or status < 200 or status in (204, 304)
-        self._length = int(length or 0) if not self._responses or not bodiless else 0
-        if coding is not None and not (self._responses and bodiless):
+        if self._responses and (status < 200 or status in (204, 304)):
+            return None  # whatever its headers say, it has no body
+        if coding is not None:
             self._framing = _Body.CHUNKED
-        elif length is None and not bodiless:
+        elif length is not None:
+            self._length = int(length)
+        elif self._responses:
             self._framing = _Body.UNTIL_CLOSE
         return None
 
--- a/umbermoor/node/lines.py
+++ b/umbermoor/node/lines.py
@@ -67,7 +67,8 @@
             self.close()
             return
         early = self.progress < Progress.WHOLE
-        self.progress = max(self.progress, Progress.ANSWERING) if not early else self.progress
+        if not early:
+            self.progress = Progress.ANSWERING
         for read in self._reader.feed(data):
             if isinstance(read, Piece):
                 self._piece(read.data)
--- a/umbermoor/station.py
+++ b/umbermoor/station.py
@@ -3,15 +3,21 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Mapping
+from typing import Any, Iterable, Mapping
 
 import orjson
 
-from umbermoor.charter import micros, read_charter
-from umbermoor.interface import Charter
+from umbermoor.charter import REPEATS, micros, read_charter
+from umbermoor.interface import Charter, Control, Group
 
 Address = tuple[str, int]
 
+_NUMBERS = {  # the settings that are numbers where they are given
+    "limits": ("try_limit", "max_retry_after_ms", "connect_timeout_ms", "idle_close_ms"),
+    "rules": ("stop_sending_within_ms", "cold_from", "warm_within_ms", "overload_factor", "fall_ms"),
+    "domain": ("to_advance", "back_votes", "to_pause", "vote_life_ms", "vote_wait_ms", "least_stage_ms",
+               "guarded_stages", "spare_tries", "metrics_period_ms", "complaint_share")}
+
 SOCKETS_LEAST = 40  # with fewer nothing is left for clients and machines
 
 
@@ -70,9 +76,18 @@
             raise Misplaced(f"{where}: not an object")
         for key, kind in (("name", str), ("aim_ms", float), ("give_up_ms", float), ("repeat", str)):
             _at(row, key, kind, within=where + ".")
-    limits = _at(settings, "limits", dict, {}, within="settings.")
-    for part in ("rules", "domain"):
-        _at(settings, part, dict, {}, within="settings.")
+        for key in ("late_worth", "window_ms"):
+            _at(row, key, float, None, within=where + ".")
+        _one_of(row, "repeat", REPEATS, within=where + ".")
+        _one_of(row, "group", [group.value for group in Group], within=where + ".")
+    for part, keys in _NUMBERS.items():
+        values = _at(settings, part, dict, {}, within="settings.")
+        for key in keys:
+            _at(values, key, float, None, within=f"settings.{part}.")
+    domain, limits = settings.get("domain") or {}, settings.get("limits") or {}
+    _one_of(domain, "gate_mode", [control.value for control in Control], within="settings.domain.")
+    for cap in _at(domain, "stage_cap", list, [], within="settings.domain."):
+        _at({"stage_cap": cap}, "stage_cap", float, within="settings.domain.")
     try:
         charter = read_charter(seeded, settings)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -110,6 +125,11 @@
     return value
 
 
+def _one_of(given: Mapping[str, Any], key: str, known: Iterable[str], within: str) -> None:
+    if (value := given.get(key)) is not None and value not in known:
+        raise Misplaced(f"{within}{key}: not one of {', '.join(known)}: {value!r:.60}")
+
+
 def _address(given: Mapping[str, Any], key: str, within: str = "") -> Address:
     text = _at(given, key, str, within=within)
     if (address := read_address(text)) is None:
