--- a/tests/town.py
+++ b/tests/town.py
@@ -7,7 +7,7 @@
 import logging
 from typing import Callable, Iterator
 
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import CannotListenError, ConnectionDone, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
@@ -176,6 +176,8 @@
         given = dict(GIVEN)
         if "sockets" in wants:
             given["limits"] = {"sockets": 40}
+        if "busy" in wants:
+            self.reactor.listenTCP = self.refuse_to_listen
         self.service = Service(self.reactor, check_station(given), lambda: round(self.reactor.seconds() * 1e6) + 10**9)
         self.reactor.stop = lambda: self.note("exit")
         report = self.service._exchange._desk.report
@@ -188,6 +190,8 @@
 
         self.service._exchange._desk.report = heard
         self.service.start()
+        if self.service.status:
+            return
         self.service._port.doRead = self.service._port.stopReading = self.service._port.startReading = lambda: None
         self.look()
 
@@ -290,6 +294,9 @@
             self.waiting[party].remove(factory)
             factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
 
+    def refuse_to_listen(self, port: int, factory, backlog: int, interface: str) -> None:
+        raise CannotListenError(interface, port, OSError("in use"))
+
     def up(self, party: str) -> None:
         if not self.pipes[party]:
             factory = self.reactor.tcpServers[0][1]
--- a/umbermoor/node/clients.py
+++ b/umbermoor/node/clients.py
@@ -76,7 +76,11 @@
             if client.idle:
                 client.close()
 
-    def read(self, request: Request) -> Query | Answer:
+    def drop(self) -> None:
+        for client in list(self.open):
+            client.transport.abortConnection()
+
+    def read(self, request: Request, came: int) -> Query | Answer:
         path = request.target.partition("?")[0]
         if path == "/up" and request.method == "GET":
             return Answer(200 if self.up and not self.leaving else 503)
@@ -93,8 +97,8 @@
             return Answer(405)
         if request.method == "GET" and request.body:
             return Answer(400)
-        now, cost = self.clock(), _number(headers.get("x-estimate", ""))
-        due = now + max(0, round(remaining * 1_000_000) - WAY)
+        cost = _number(headers.get("x-estimate", ""))
+        due = came + max(0, round(remaining * 1_000_000) - WAY)
         return Query(Asked(query, profile, None, due, round(cost) if cost and 0 < cost < 1e12 else None,
                            headers.get("x-resent") == "1"), request)
 
@@ -102,7 +106,7 @@
 class Client(Protocol):
     def __init__(self, clients: Clients) -> None:
         self._clients, self._reader = clients, Reader(clients.buffers)
-        self._waiting: deque[Request | Fault] = deque()
+        self._waiting: deque[tuple[Request | Fault, int]] = deque()  # and when they were whole
         self._working: Deferred[Answer] | None = None
         self._counted = self._closing = False
         self._timer = None
@@ -122,9 +126,10 @@
         if self._closing:
             return
         self._clients.open[self] = self._clients.open.pop(self, None)
-        self._waiting.extend(self._reader.feed(data))
+        now = self._clients.clock()
+        self._waiting.extend((read, now) for read in self._reader.feed(data))
         if len(self._waiting) > QUEUED:
-            self._waiting = deque([*list(self._waiting)[:QUEUED], Fault(400, "too many requests at once")])
+            self._waiting = deque([*list(self._waiting)[:QUEUED], (Fault(400, "too many requests at once"), now)])
         if self._reader.midway != (self._timer is not None):
             if self._timer is None:
                 self._timer = self._clients.reactor.callLater(READ_WITHIN, self._too_slow)
@@ -151,7 +156,7 @@
 
     def _work(self) -> None:
         while self._waiting and self._working is None and not self._closing:
-            read = self._waiting.popleft()
+            read, came = self._waiting.popleft()
             if isinstance(read, Fault):
                 note(log, "bad request", logging.DEBUG, status=read.status, why=read.text)
                 self._answer(Answer(read.status), False)
@@ -162,7 +167,7 @@
             if "expect" in read.headers:
                 self._answer(Answer(417), False)
                 continue
-            found = self._clients.read(read)
+            found = self._clients.read(read, came)
             if isinstance(found, Answer):
                 self._answer(found, read.keep)
                 continue
--- a/umbermoor/node/machines.py
+++ b/umbermoor/node/machines.py
@@ -40,10 +40,13 @@
         for id, given in places.items():
             if given is None:
                 continue
-            place = self._places.setdefault(id, _Place(given[0]))
-            if place.address != given[0] or not given[1]:
+            address, ready = given
+            place = self._places.get(id)
+            if place and (place.address != address or not ready):
                 self._hang_up(place)
-            place.address, place.ready = given
+            if place is None or place.address != address:  # threat: the old place's line kept as one to it
+                self._places[id] = place = _Place(address)
+            place.ready = ready
 
     def hand_off(self, machine: str, method: str, target: str, headers: Mapping[str, str], body: bytes, limit: int,
                  may_go: Callable[[], bool]) -> "Deferred[Outcome]":
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -7,11 +7,12 @@
 import time
 
 from twisted.internet import reactor
+from twisted.internet.error import CannotListenError
 from twisted.logger import STDLibLogObserver, globalLogBeginner
 
 from umbermoor.facade import Desk
 from umbermoor.http1.buffers import Buffers
-from umbermoor.interface import Listing
+from umbermoor.interface import Listing, News
 from umbermoor.logs import note
 from umbermoor.node.budget import Budget
 from umbermoor.node.clients import Clients
@@ -28,6 +29,7 @@
 LISTEN_ON = 0.5  # seconds after SIGTERM in which new connections may still come
 ACCEPT_TURNS = 3  # a turn takes what came to wait in the last; the last ones find nothing
 READ_ON = 0.1  # seconds for what these last connections bring
+DROP_AFTER = 1.5  # seconds; then a request that is still not whole is not waited for
 DRAIN_CHECK = 0.02  # seconds
 
 
@@ -58,6 +60,8 @@
         exchange.watch = self._discovery.start
         self._heard: set[str] = set()
         self._port = None
+        self._drop_at = 0.0
+        self.status = 0  # of the program, when it ends
 
     def start(self) -> None:
         station, charter = self._station, self._station.charter
@@ -78,7 +82,13 @@
         self._discovery.start()
         self._platform.start()
         host, port = station.listen
-        self._port = self._reactor.listenTCP(port, self._clients, BACKLOG, host)
+        try:
+            self._port = self._reactor.listenTCP(port, self._clients, BACKLOG, host)
+        except CannotListenError as error:
+            note(log, "cannot listen", logging.ERROR, why=error.socketError)
+            self.status = 1
+            self._reactor.stop()
+            return
         self._clients.accept = lambda on: (self._port.startReading if on else self._port.stopReading)()
         self._reactor.callLater(UP_WITHIN, self._go_up)
         self._exchange.tick()
@@ -89,7 +99,8 @@
 
     def _told(self, news) -> None:
         self._exchange.told(news)
-        self._hear("stage")
+        if isinstance(news, News):
+            self._hear("stage")
 
     def _hear(self, what: str) -> None:
         if not self._clients.up:
@@ -114,10 +125,13 @@
             self._port.doRead()
         self._clients.accept = lambda on: None
         self._port.stopListening()
+        self._drop_at = self._reactor.seconds() + DROP_AFTER
         self._reactor.callLater(READ_ON, self._leave)
 
     def _leave(self) -> None:
         self._clients.close_idle()
+        if not self._exchange.held and self._reactor.seconds() >= self._drop_at:
+            self._clients.drop()  # requests that never became whole, and clients that do not take their answers
         if self._clients.open:
             self._reactor.callLater(DRAIN_CHECK, self._leave)
             return
@@ -140,4 +154,4 @@
     gc.collect()
     gc.freeze()
     reactor.run(installSignalHandlers=False)
-    return 0
+    return service.status
