--- a/umbermoor/logs.py
+++ b/umbermoor/logs.py
@@ -30,3 +30,8 @@
 def note(log: logging.Logger, what: str, level: int = logging.INFO, **pairs: Any) -> None:
     if log.isEnabledFor(level):
         log.log(level, what, extra={"with_": pairs})
+
+
+def note_failure(log: logging.Logger, what: str, failure: Any) -> None:
+    """A fault of ours that ended up as a Twisted failure, with its trace."""
+    log.error(what, exc_info=(failure.type, failure.value, failure.getTracebackObject()))
--- a/umbermoor/node/clients.py
+++ b/umbermoor/node/clients.py
@@ -14,7 +14,7 @@
 from umbermoor.http1.reader import Fault, Reader, Request
 from umbermoor.http1.writer import write_response
 from umbermoor.interface import Repeat
-from umbermoor.logs import note
+from umbermoor.logs import note, note_failure
 from umbermoor.node.budget import OVER_MOST, Budget
 
 log = logging.getLogger(__name__)
@@ -183,7 +183,7 @@
     def _faulted(self, failure: Failure) -> None:
         self._working = None
         if not failure.check(CancelledError):
-            log.error("fault in a query", exc_info=(failure.type, failure.value, failure.getTracebackObject()))
+            note_failure(log, "fault in a query", failure)
             if not self._closing:
                 self._answer(Answer(500), False)
 
--- a/umbermoor/node/discovery.py
+++ b/umbermoor/node/discovery.py
@@ -10,7 +10,7 @@
 from umbermoor.http1.reader import Response
 from umbermoor.http1.writer import write_request
 from umbermoor.interface import Entry, Listing, Readiness
-from umbermoor.logs import note
+from umbermoor.logs import note, note_failure
 from umbermoor.node.lines import SECOND, Attempt, Line
 from umbermoor.node.outcomes import Outcome, shown
 from umbermoor.station import Address, read_address
@@ -130,4 +130,4 @@
         return news
 
     def _faulted(self, failure) -> None:
-        log.error("fault in the list", exc_info=(failure.type, failure.value, failure.getTracebackObject()))
+        note_failure(log, "fault in the list", failure)
--- a/umbermoor/node/exchange.py
+++ b/umbermoor/node/exchange.py
@@ -10,7 +10,7 @@
                               Probe, Probed, Step, Stop, Tell, Vote, Watch)
 from umbermoor.http1.reader import Response
 from umbermoor.interface import Ending, Listing, News, Readiness
-from umbermoor.logs import note
+from umbermoor.logs import note, note_failure
 from umbermoor.node import discovery as lists
 from umbermoor.node.clients import Answer, Query
 from umbermoor.node.machines import Machines
@@ -177,7 +177,7 @@
             note(log, "machine lost", logging.WARNING, machine=machine, ending=how.name.lower())
 
     def _faulted(self, failure, id: str) -> None:
-        log.error("fault in a hand-off", exc_info=(failure.type, failure.value, failure.getTracebackObject()))
+        note_failure(log, "fault in a hand-off", failure)
         self._give_up(id)
 
     def _stop(self, step: Stop) -> None:
@@ -198,7 +198,7 @@
     def _vote(self, step: Vote) -> None:
         note(log, "vote", build=step.build, stage=step.stage, verdict=step.verdict.name.lower())
         self.platform.vote(step).addCallback(self._voted).addErrback(
-            lambda failure: log.error("fault in a vote: %s", failure))
+            lambda failure: note_failure(log, "fault in a vote", failure))
 
     def _voted(self, news: News) -> None:
         if news.ending is not Ending.OK:
--- a/umbermoor/node/lines.py
+++ b/umbermoor/node/lines.py
@@ -12,6 +12,7 @@
 
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Fault, Piece, Reader
+from umbermoor.logs import note_failure
 from umbermoor.node.outcomes import Cause, Failed, Outcome, Progress
 
 log = logging.getLogger(__name__)
@@ -147,7 +148,7 @@
         self._connecting.addCallbacks(connected, failed).addErrback(self._faulted)
 
     def _faulted(self, failure: Failure) -> None:
-        log.error("fault on a new connection", exc_info=(failure.type, failure.value, failure.getTracebackObject()))
+        note_failure(log, "fault on a new connection", failure)
         self._end(Cause.BROKEN)
 
     def refuse(self) -> None:
--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -93,8 +93,6 @@
         self.asked_at = self.vote_after = self.stood_at = self.judged_at = self.passed_at = 0
         self.standing = self.noted = self.asked
 
-    # What is reported: only noted.
-
     def take_query(self, now: int, query: str, profile: int, key: str | None, due: int, cost: int | None,
                    repeated: bool) -> None:
         scope = profile if self.charter.cap_by_profile else 0
@@ -109,7 +107,8 @@
     def hand_off_ended(self, now: int, query: str, number: int, machine: str, ending: Ending, took: int,
                        closed: bool) -> None:
         held = self.queries.get(query)
-        if held is None or (hand_off := held.hand_offs[number]).ending is not None:
+        hand_off = held.hand_offs[number] if held and number < len(held.hand_offs) else None
+        if hand_off is None or hand_off.ending is not None:
             return
         hand_off.ending = ending
         self._learn(now, held, hand_off, ending, took)
