--- a/umbermoor/node/formats.py
+++ b/umbermoor/node/formats.py
@@ -2,10 +2,11 @@
 
 import re
 from typing import Mapping, NamedTuple
-from urllib.parse import parse_qsl, urlencode
 
 _TAG = re.compile(r"<(/?)([A-Za-z_][\w.-]*)([^<>]*?)(/?)>")
 _ENTITY = re.compile(r"&(#x[0-9A-Fa-f]+|#[0-9]+|lt|gt|amp|quot|apos);")
+_SPECIAL = re.compile(r"[^A-Za-z0-9._~-]+")
+_ESCAPES = re.compile(r"(?:%[0-9A-Fa-f]{2})+")
 _NAMED = {"lt": "<", "gt": ">", "amp": "&", "quot": '"', "apos": "'"}
 LINE_MOST = 64 * 1024  # of an event; what is longer is passed over
 
@@ -29,11 +30,22 @@
 
 
 def write_form(values: Mapping[str, object]) -> bytes:
-    return urlencode({name: str(value) for name, value in values.items()}).encode()
+    return "&".join(f"{_escaped(name)}={_escaped(str(value))}" for name, value in values.items()).encode()
 
 
 def read_form(text: str) -> dict[str, str]:
-    return dict(parse_qsl(text, keep_blank_values=True))
+    pairs = (part.partition("=") for part in text.split("&") if part)
+    return {_unescaped(name): _unescaped(value) for name, _, value in pairs}
+
+
+def _escaped(text: str) -> str:
+    return _SPECIAL.sub(lambda run: "".join(f"%{byte:02X}" for byte in run[0].encode()), text)
+
+
+def _unescaped(text: str) -> str:
+    """What only looks like an escape stands for itself."""
+    return _ESCAPES.sub(lambda run: bytes.fromhex(run[0].replace("%", "")).decode("utf-8", "replace"),
+                        text.replace("+", " "))
 
 
 def read_xml(data: bytes) -> Element | None:
