--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -76,7 +76,7 @@
         self.started: int | None = None
         self.arrivals, self.done_work = Fading(HORIZON / 2), Fading(DONE_IN)
         self.faulty, self.wrongs, self.in_row = Fading(HORIZON), Fading(HORIZON), 0  # whose fault errors were
-        self.copies, self.alarm, self.watch_failures, self.complaints = 1.0, 0, 0, 0
+        self.copies, self.alarm, self.watch_failures, self.complaints, self.praised = 1.0, 0, 0, 0, 0
         self.news: News | None = None
         self.credit: dict[int, float] = defaultdict(float)  # hand-offs to the trial still free
         self.share = 0.0  # of the machines, those on trial
@@ -90,7 +90,7 @@
         self.base = 0.0  # mean answer time before the trial
         self.watch_at = self.slow_since = self.started  # since when machines are slower than before the trial
         self.asked: tuple[int, int, Verdict] | None = None
-        self.asked_at = self.vote_after = self.stood_at = self.judged_at = self.passed_at = 0
+        self.blamed = self.asked_at = self.vote_after = self.stood_at = self.judged_at = self.passed_at = 0
         self.standing = self.noted = self.asked
 
     def take_query(self, now: int, query: str, profile: int, key: str | None, due: int, cost: int | None,
@@ -178,7 +178,7 @@
 
     def tally(self, now: int, build: int, profile: int, counted: int, lost: int, took: int, age: int) -> None:
         """Where many fronts cannot tell each other anything, they judge on what the platform counted."""
-        if self.tallied and not self._tried(build):
+        if self.tallied and not (self._new(build) and self.news.phase is Phase.TRIAL):
             self.stage.answered(took, 0.8, counted - lost)  # of old times a fifth is lost
         if self.tallied and self.news and self.news.phase is Phase.TRIAL:
             listed = max((one.listed for one in self.machines.values() if one.build == build), default=now)
@@ -190,7 +190,7 @@
         known = self.machines.get(machine)
         if known and self.news and self.charter.complaint_share and now - age - known.listed >= FRESH:
             new = self._new(known.build)
-            self.complaints += new  # the first may be false: no lone vote on it
+            self.complaints, self.blamed = self.complaints + new, self.blamed + (not new)  # one may be false
             alone = self.complaints < 2 and self.charter.votes_back < 2 or self.news.phase is not Phase.TRIAL
             weight = 1.0 if alone else 1 / self.charter.complaint_share
             self.stage.add(new, 0, -weight, -weight, weight * weight * self.pooled)
@@ -219,8 +219,9 @@
             machine.took, machine.work = machine.took + took, machine.work + hand_off.ahead
             self.took, self.work = self.took * FLEET + took, self.work * FLEET + hand_off.ahead
         if ending is Ending.OK:
-            if not self.tallied and not self._tried(machine.build):
+            if not self.tallied and not (self._new(machine.build) and self.news.phase is Phase.TRIAL):
                 self.stage.answered(took, FLEET)
+            self.praised += not self._new(machine.build)
             self.usual[held.profile] += (took - self.usual[held.profile]) * LEARN / 4
             self.done_work.add(now, held.cost)
             if held.key and self.charter.one_way and self._new(machine.build):
@@ -258,9 +259,6 @@
                 if good and sound and one.sent >= one.machine.born + self.charter.warm_within:
                     self.paces[self._new(build)].add(took, held.cost)
 
-    def _tried(self, build: int) -> bool:
-        return self._new(build) and self.news.phase is Phase.TRIAL
-
     def _new(self, build: int) -> bool:
         return self.news is not None and build >= self.news.build
 
@@ -435,8 +433,7 @@
     def _paced(self, now: int, machine: Machine) -> float:
         """Answer time over the work ahead: the machine's own, leaning on the fleet's at first."""
         machine.fade(now, RECENT)
-        lean = LEAN * self.usual[0]
-        return (machine.took + lean * self.took / self.work) / (machine.work + lean)
+        return (machine.took + (lean := LEAN * self.usual[0]) * self.took / self.work) / (machine.work + lean)
 
     def _warmth(self, now: int, machine: Machine) -> float:
         """The part of its capacity that the machine has by now at the least; 1 when it is warm."""
@@ -518,9 +515,11 @@
     def _trails(self, new: float, n: float, earlier: float, sure: float = SURE) -> bool:
         """Whether the new build's posterior mean lies under the earlier mean by more than the margin."""
         mu, s = _clipped(earlier, sure)
+        if self.news.phase is Phase.TRIAL and self.blamed:  # threat: false complaints, weighed as several
+            s = sqrt(s * s + self.blamed / (self.praised + 1) / self.charter.complaint_share ** 2)
         b = SIGMA ** 2 / (SIGMA ** 2 + s * s / n)
-        width = LONE if self.charter.votes_back <= 1 else 2
-        lead = (WIDE * (1 + (sure == SURE)) if self.fleet else MARGIN) + width * s / sqrt(n)
+        fixed = WIDE * (1 + (sure == SURE)) if self.fleet else MARGIN
+        lead = fixed + (LONE if self.charter.votes_back <= 1 else 2) * s / sqrt(n)
         return mu - ((1 - b) * mu + b * new) > lead
 
 
