--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -7,7 +7,7 @@
 from umbermoor.http1.buffers import BODY_MOST, HEAD_MOST, SIZE, Buffers
 
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_REQUEST = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+) ([!-~]+) HTTP/1\.([01])")
+_REQUEST = re.compile(rf"({_TOKEN.pattern}) ([!-~]+) HTTP/1\.([01])")
 _RESPONSE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n]*)?")
 _SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?")
 
--- a/umbermoor/node/clients.py
+++ b/umbermoor/node/clients.py
@@ -16,6 +16,7 @@
 from umbermoor.interface import Repeat
 from umbermoor.logs import note, note_failure
 from umbermoor.node.budget import OVER_MOST, Budget
+from umbermoor.node.lines import SECOND
 
 log = logging.getLogger(__name__)
 
@@ -98,7 +99,7 @@
         if request.method == "GET" and request.body:
             return Answer(400)
         cost = _number(headers.get("x-estimate", ""))
-        due = came + max(0, round(remaining * 1_000_000) - WAY)
+        due = came + max(0, round(remaining * SECOND) - WAY)
         return Query(Asked(query, profile, None, due, round(cost) if cost and 0 < cost < 1e12 else None,
                            headers.get("x-resent") == "1"), request)
 
@@ -178,7 +179,8 @@
         self._working = None
         if not self._closing:
             self._answer(answer, keep)
-            self._clients.reactor.callLater(0, self._work) if self._waiting else None
+            if self._waiting:
+                self._clients.reactor.callLater(0, self._work)
 
     def _faulted(self, failure: Failure) -> None:
         self._working = None
--- a/umbermoor/node/exchange.py
+++ b/umbermoor/node/exchange.py
@@ -13,13 +13,13 @@
 from umbermoor.logs import note, note_failure
 from umbermoor.node import discovery as lists
 from umbermoor.node.clients import Answer, Query
+from umbermoor.node.lines import SECOND
 from umbermoor.node.machines import Machines
 from umbermoor.node.outcomes import Outcome, ending
 from umbermoor.node.platform import Platform
 
 log = logging.getLogger(__name__)
 
-SECOND = 1_000_000
 LOST_EVERY = SECOND  # between two lines in the log on the same machine
 
 
--- a/umbermoor/node/lines.py
+++ b/umbermoor/node/lines.py
@@ -32,7 +32,7 @@
         self.progress = Progress.UNCONNECTED
         self.open = False
         self.idle_since = 0  # while it is kept
-        self.on_close: Callable[[Line], None] | None = None
+        self.on_close: Callable[[], None] = lambda: None
 
     @property
     def clean(self) -> bool:
@@ -89,8 +89,7 @@
         if self._answer is not None:
             whole = last is not None and not isinstance(last, Fault) and self.progress >= Progress.WHOLE
             self._settle(last if whole else Failed(self.progress, Cause.BROKEN))
-        if self.on_close:
-            self.on_close(self)
+        self.on_close()
 
     def give_up(self, cause: Cause) -> None:
         """Closes, so that nothing more is sent; the answer tells how far it had come."""
@@ -129,7 +128,7 @@
         factory.noisy = False
 
         def connected(made: Line) -> None:
-            self._connecting, made.on_close = None, lambda _: lost()
+            self._connecting, made.on_close = None, lost
             self.line = made
             if self.outcome.called:
                 made.close()
--- a/umbermoor/node/platform.py
+++ b/umbermoor/node/platform.py
@@ -152,7 +152,8 @@
         self._attempt.outcome.cancel()
 
     def _piece(self, data: bytes) -> None:
-        self._quiet.reset(SILENT) if self._quiet.active() else None
+        if self._quiet.active():
+            self._quiet.reset(SILENT)
         self._platform.heard(self, self._events.feed(data))
 
     def _silent(self) -> None:
