--- a/umbermoor/__main__.py
+++ b/umbermoor/__main__.py
@@ -7,7 +7,7 @@
   umbermoor (-h | --help)
 
 Commands:
-  serve    serve queries until SIGTERM
+  serve    serve queries until SIGTERM; SIGHUP reads the configuration again
   check    read the configuration, and say what it holds or which key is at fault
   version  print the version
 
@@ -18,6 +18,7 @@
 
 import os
 import sys
+from functools import partial
 
 from docopt import docopt
 
@@ -31,8 +32,9 @@
     if given["version"]:
         print(f"umbermoor {VERSION}")
         return 0
+    read = partial(read_station, os.environ, given["--config"])
     try:
-        station = read_station(os.environ, given["--config"])
+        station = read()
         if given["--log"] not in ("DEBUG", "INFO", "WARNING", "ERROR"):
             raise Misplaced(f"--log: no such level: {given['--log']}")
     except Misplaced as fault:
@@ -44,7 +46,7 @@
         return 0
     from umbermoor.node.service import serve  # only here: the others need no reactor
     start_log(given["--log"])
-    return serve(station)
+    return serve(station, read)
 
 
 if __name__ == "__main__":
--- a/umbermoor/node/budget.py
+++ b/umbermoor/node/budget.py
@@ -8,10 +8,13 @@
 
 class Budget:
     def __init__(self, sockets: int) -> None:
-        self.most = sockets - RESERVE
         self.used = self.peak = 0
+        self.resize(sockets)
         self.spare: list[Callable[[], bool]] = []  # each closes one idle connection, if it has any
 
+    def resize(self, sockets: int) -> None:
+        self.most = sockets - RESERVE
+
     def take(self) -> bool:
         if self.used >= self.most and not any(close() for close in self.spare):
             return False
--- a/umbermoor/node/discovery.py
+++ b/umbermoor/node/discovery.py
@@ -80,6 +80,12 @@
             self._started = True
             self._ask()
 
+    def move(self, address: Address) -> None:
+        """The list is asked for at another address from now on, whole at first: its numbers may be others."""
+        self._address, self._version, self._again = address, None, AGAIN_FIRST
+        if self._asking is not None:
+            self._asking.cancel()  # which asks again, at once
+
     def stop(self) -> None:
         self._stopped = True
         if self._asking is not None:
@@ -98,12 +104,17 @@
             attempt.on(self._line)
         else:
             attempt.connect(self._address, ANSWER_WITHIN, lambda: Line(self._buffers))
-        attempt.outcome.addCallback(self._answered, attempt).addErrback(self._faulted)
+        attempt.outcome.addCallback(self._answered, attempt, self._address).addErrback(self._faulted)
 
-    def _answered(self, outcome: Outcome, attempt: Attempt) -> None:
+    def _answered(self, outcome: Outcome, attempt: Attempt, address: Address) -> None:
         self._asking, self._line = None, attempt.line
         if self._stopped:
             return
+        if address != self._address:  # threat: an old list taken for the new one's, or waited for
+            if self._line is not None:
+                self._line.close()
+            self._ask()
+            return
         news = self._read(outcome)
         if news is None:
             note(log, "list not read", logging.WARNING, outcome=shown(outcome))
--- a/umbermoor/node/platform.py
+++ b/umbermoor/node/platform.py
@@ -100,6 +100,13 @@
         if not self._stopped:
             self._streams.append(_Stream(self))
 
+    def move(self, address: Address) -> None:
+        """Votes go to another address from now on. The stream there takes over once it speaks; until then, or until it
+        is closed, the one that stands may tell more."""
+        self._address, self._again = address, AGAIN_FIRST
+        self._keep(*self._streams[:1])
+        self.start()
+
     def stop(self) -> None:
         self._stopped = True
         for stream in list(self._streams):
@@ -110,11 +117,15 @@
             attempt.line.close()
         return read_vote(outcome)
 
-    def heard(self, stream: "_Stream", events: list[Event]) -> None:
-        self._again = AGAIN_FIRST
-        for other in [one for one in self._streams if one is not stream]:  # the one that speaks is kept
+    def _keep(self, *kept: "_Stream") -> None:
+        for other in [one for one in self._streams if one not in kept]:
             self._streams.remove(other)
             other.stop()
+
+    def heard(self, stream: "_Stream", events: list[Event]) -> None:
+        self._again = AGAIN_FIRST
+        if stream.address == self._address:  # else the one that is to take over goes on connecting
+            self._keep(stream)
         for event in events:
             news = read_event(event, self._profiles)
             if news is None:
@@ -125,9 +136,7 @@
     def silent(self) -> None:
         """Threat: silence may be the platform's, which then goes on here, or a dead connection's."""
         if not self._stopped:
-            for newer in self._streams[1:]:
-                self._streams.remove(newer)
-                newer.stop()
+            self._keep(*self._streams[:1])
             self.start()
 
     def lost(self, stream: "_Stream", outcome: Outcome) -> None:
@@ -142,7 +151,7 @@
 
 class _Stream:
     def __init__(self, platform: Platform) -> None:
-        self._platform, self._events = platform, EventStream()
+        self._platform, self._events, self.address = platform, EventStream(), platform._address
         self._attempt = Attempt(platform._reactor, write_request("GET", "/v1/bulletin", "platform"), FOR_EVER)
         self._attempt.connect(platform._address, CONNECT_WITHIN, lambda: Line(platform._buffers, self._piece))
         self._quiet = platform._reactor.callLater(SILENT, self._silent)
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -5,6 +5,7 @@
 import resource
 import signal
 import time
+from typing import Callable
 
 from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
@@ -20,7 +21,7 @@
 from umbermoor.node.exchange import Exchange
 from umbermoor.node.machines import Machines
 from umbermoor.node.platform import Platform, read_stage
-from umbermoor.station import Station
+from umbermoor.station import Misplaced, Station
 
 log = logging.getLogger(__name__)
 
@@ -113,6 +114,26 @@
             self._clients.up = True
             note(log, "up", heard=" ".join(sorted(self._heard)))
 
+    def reload(self, read: Callable[[], Station]) -> None:
+        """Takes what may change from the configuration read anew. Threat: one that cannot be used ends the front."""
+        if self._clients.leaving:
+            return
+        try:
+            station = read()
+        except Misplaced as fault:
+            note(log, "configuration not taken, the old one goes on", logging.WARNING, fault=fault)
+            return
+        old, self._station = self._station, station
+        moved = [name for name in ("discovery", "platform", "sockets") if getattr(old, name) != getattr(station, name)]
+        kept = [name for name in ("name", "listen", "charter", "profiles", "zones", "connect_within", "idle_close",
+                                  "service", "load_fields") if getattr(old, name) != getattr(station, name)]
+        note(log, "configuration read again", changed=" ".join(moved), needs_a_restart=" ".join(kept))
+        self._budget.resize(station.sockets)
+        if "discovery" in moved:
+            self._discovery.move(station.discovery)
+        if "platform" in moved:
+            self._platform.move(station.platform)
+
     def drain(self) -> None:
         if not self._clients.leaving:
             note(log, "drain", queries=len(self._exchange.held), clients=len(self._clients.open))
@@ -145,11 +166,12 @@
         self._reactor.callLater(0, self._reactor.stop)
 
 
-def serve(station: Station) -> int:
+def serve(station: Station, read: Callable[[], Station]) -> int:
     globalLogBeginner.beginLoggingTo([STDLibLogObserver()], redirectStandardIO=False)
     service = Service(reactor, station, Clock())
     reactor.callWhenRunning(service.start)
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(service.drain))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(service.reload, read))
     signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(service.drain))
     gc.collect()
     gc.freeze()
