--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -71,15 +71,15 @@
         self.later: list[tuple[int, str]] = []
         self.outbox: deque[Decision] = deque()  # what only needs to be passed on
         self.usual = [row.target / 5 for row in charter.profiles]  # expected work where no hint comes
-        self.mean_cost = max(self.usual, default=0.0)
-        self.took, self.work, self.gap = 1.0 * SECOND, 1.0 * SECOND, SECOND / 2.0  # the fleet's usual ones
-        self.started: int | None = None
+        self.took = self.work = 1.0 * SECOND  # the fleet's usual ones
+        self.gap, self.failing, self.mean_cost = SECOND / 2.0, 0.0, max(self.usual, default=0.0)
+        self.started = self.watch_at = self.slow_since = None  # since when machines are slow, on trial
         self.arrivals, self.done_work = Fading(HORIZON / 2), Fading(DONE_IN)
         self.faulty, self.wrongs, self.in_row = Fading(HORIZON), Fading(HORIZON), 0  # whose fault errors were
         self.copies, self.alarm, self.watch_failures, self.complaints, self.praised = 1.0, 0, 0, 0, 0
         self.news: News | None = None
         self.credit: dict[int, float] = defaultdict(float)  # hand-offs to the trial still free
-        self.share = 0.0  # of the machines, those on trial
+        self.share = self.base = 0.0  # of the machines, those on trial; the mean answer time before the trial
         self.tags: dict[bytes, str] = {}  # ids of machines by their names among peers
         self.circle = self.carried = 0.0  # part of the fronts that share a machine; the most one did
         self.tallied = charter.tallies and charter.fronts > CIRCLE and not charter.may_tell
@@ -87,11 +87,8 @@
         self.fleet = self.pooled or self.tallied  # n is what all saw
         self.answered: set[str] = set()  # keys that the trial has answered, where they may not go back
         self.trial, self.stage, self.paces = Contrast(), Pool(), (Pace(), Pace())  # past stages; present one
-        self.base = 0.0  # mean answer time before the trial
-        self.watch_at = self.slow_since = self.started  # since when machines are slower than before the trial
-        self.asked: tuple[int, int, Verdict] | None = None
         self.blamed = self.asked_at = self.vote_after = self.stood_at = self.judged_at = self.passed_at = 0
-        self.standing = self.noted = self.asked
+        self.standing = self.noted = self.asked = None  # votes: build, stage, verdict
 
     def take_query(self, now: int, query: str, profile: int, key: str | None, due: int, cost: int | None,
                    repeated: bool) -> None:
@@ -232,6 +229,7 @@
         if ending not in (Ending.CANCELLED, Ending.MOOT, Ending.TIMEOUT):
             failed = self.faulty.at(now) < MOST if ending is Ending.ERROR else ending is not Ending.OK
             machine.fails += (failed - machine.fails) * LEARN
+            self.failing += (failed - self.failing) * LEARN / 10
 
     def _score(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
         """Threat: queries that fail everywhere look like a bad build: errors count if done well elsewhere."""
@@ -417,7 +415,9 @@
         if machine.silent_since is not None:
             phi = (now - machine.silent_since) / max(machine.gap, self.gap) / log(10)
             time *= 10 ** min(6.0, max(0.0, phi - DOUBT))
-        return time / self._warmth(now, machine) * (1 + FAILING * machine.fails) * (1 + 0.1 * self.random())
+        # Threat: answers spoilt on the way, from all alike; only what stands out counts against a machine.
+        fails = max(0.0, machine.fails - self.failing - 2 * sqrt(self.failing * LEARN / 2))
+        return time / self._warmth(now, machine) * (1 + FAILING * fails) * (1 + 0.1 * self.random())
 
     def _load(self, now: int, machine: Machine) -> float:
         # Threat: each front sees only its own part of the open work, so peers tell theirs.
