--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -42,7 +42,7 @@
 CIRCLE = 10  # fronts that share a machine and tell each other their open work; to all it grows as a square
 REACH = 4 * SECOND  # a front uses as many machines as it takes queries in this time, to learn of any
 TRUST = SECOND // 2  # what a peer told of a machine longer ago than this says nothing
-RECENT = 8 * SECOND  # what was seen of a machine loses its weight at this rate while nothing new is seen
+RECENT = 4  # what was seen of a machine loses its weight in so many target times
 FLEET = 0.98  # what is seen of the whole fleet loses this with each outcome
 LEAN = 2.0  # a machine's pace leans on the fleet's as if that many usual queries had been seen
 LEARN = 0.2  # weight of the newest outcome in a machine's averages
@@ -50,7 +50,7 @@
 FAILING = 100.0  # a machine that fails all seems this many times further away
 COLD_PART = 0.7  # part of the pressure allowed on a cold machine that this front uses of its own share
 DONE_IN = 5 * SECOND  # the time over which work done is averaged
-CROWD = 0.5  # no hand-off where the waiting alone takes this part of the time left
+CROWD = 0.8  # no hand-off where the waiting and a usual query take this part of the time left
 MOST = 0.2  # so many errors done well elsewhere, for one that was not, lay them all on the machines
 ENOUGH = 2  # errors from so many machines show that the query itself is at fault: no further hand-off
 COPIES = 0.05  # second copies sent, as a share of the queries taken
@@ -211,8 +211,7 @@
         machine.open -= 1
         machine.load = max(0.0, machine.load - held.cost) if machine.open else 0.0
         self._tell(machine)
-        slow = took > self._paced(now, machine) * hand_off.ahead
-        if ending is Ending.OK or slow:
+        if ending is Ending.OK or took > self._paced(now, machine) * hand_off.ahead:  # at least that slow
             machine.took, machine.work = machine.took + took, machine.work + hand_off.ahead
             self.took, self.work = self.took * FLEET + took, self.work * FLEET + hand_off.ahead
         if ending is Ending.OK:
@@ -398,8 +397,9 @@
             pool = pool or self._able(now, held, side)
         nearest = min(pool, key=lambda machine: self._distance(now, held, machine), default=None)
         # Threat: a jam that feeds itself, as late answers bring retries; also bursts and lost machines.
-        jammed = nearest and self._paced(now, nearest) * self._load(now, nearest) > left * CROWD
-        return None if jammed else nearest
+        ahead = nearest and self._load(now, nearest) + min(held.cost, self.mean_cost)
+        jammed = nearest and len(self.queries) > 2 and self._paced(now, nearest) * ahead > left * CROWD
+        return None if jammed else nearest  # with next to nothing out, one goes, to learn
 
     def _near(self, now: int, side: list[Machine]) -> list[Machine]:
         shared = list(takewhile(lambda machine: machine.rank < self.circle, side))
@@ -432,7 +432,7 @@
 
     def _paced(self, now: int, machine: Machine) -> float:
         """Answer time over the work ahead: the machine's own, leaning on the fleet's at first."""
-        machine.fade(now, RECENT)
+        machine.fade(now, RECENT * self.charter.profiles[0].target)
         return (machine.took + (lean := LEAN * self.usual[0]) * self.took / self.work) / (machine.work + lean)
 
     def _warmth(self, now: int, machine: Machine) -> float:
