--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -27,7 +27,7 @@
 FIRST_MEAN = 0.9  # the earlier build's mean until it has LEAST outcomes
 LEAST = 10  # outcomes below which nothing is judged by its mean
 PATIENT = 4 * SECOND  # a stage is judged this long after its newest machine was listed, short of n* or not
-FRESH = 3 * SECOND  # outcomes of machines listed more recently do not count: cold, or behind, they look slow
+FRESH = 3 * SECOND  # outcomes of machines listed more recently do not count, unless warm before
 SURE = 0.965  # a mean above this is taken for this, so that s never vanishes and no lone lateness decides
 SOUND = 0.985  # and so that of those that did not fail: judged by itself, as failures drown in lateness
 DRAGGED = 1.4  # machines that take this many times as long as before the trial hold up the release
@@ -79,7 +79,7 @@
         self.copies, self.alarm, self.watch_failures, self.complaints, self.praised = 1.0, 0, 0, 0, 0
         self.news: News | None = None
         self.credit: dict[int, float] = defaultdict(float)  # hand-offs to the trial still free
-        self.share = self.base = 0.0  # of the machines, those on trial; the mean answer time before the trial
+        self.fresh, self.share, self.base = min(FRESH, charter.warm_within), 0.0, 0.0  # share: machines on trial
         self.tags: dict[bytes, str] = {}  # ids of machines by their names among peers
         self.circle = self.carried = 0.0  # part of the fronts that share a machine; the most one did
         self.tallied = charter.tallies and charter.fronts > CIRCLE and not charter.may_tell
@@ -179,13 +179,13 @@
             self.stage.answered(took, 0.8, counted - lost)  # of old times a fifth is lost
         if self.tallied and self.news and self.news.phase is Phase.TRIAL:
             listed = max((one.listed for one in self.machines.values() if one.build == build), default=now)
-            if now - age - listed >= FRESH:
+            if now - age - listed >= self.fresh:
                 self.stage.add(self._new(build), counted, counted - lost, counted - lost)
 
     def complaint(self, now: int, machine: str, profile: int, age: int) -> None:
         """Threat: wrong answers look done. One told stands for those that are not; a false one does too."""
         known = self.machines.get(machine)
-        if known and self.news and self.charter.complaint_share and now - age - known.listed >= FRESH:
+        if known and self.news and self.charter.complaint_share and now - age - known.listed >= self.fresh:
             new = self._new(known.build)
             self.complaints, self.blamed = self.complaints + new, self.blamed + (not new)  # one may be false
             alone = self.complaints < 2 and self.charter.votes_back < 2 or self.news.phase is not Phase.TRIAL
@@ -248,7 +248,7 @@
         for one in (*wronged, hand_off):
             build, sound = one.machine.build, one.ending is not Ending.ERROR
             warm = one.machine.born + self.charter.warm_within + profile.target if self.fleet else 0
-            if build not in held.scored and one.sent >= max(one.machine.listed + FRESH, warm):
+            if build not in held.scored and one.sent >= max(one.machine.listed + self.fresh, warm):
                 held.scored.add(build)  # retries of one failure are no evidence: one score a query and build
                 weight = sound or bool(wronged) or telling
                 in_time = good and sound and took <= profile.target
