--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -7,7 +7,6 @@
 import heapq
 import random
 from collections import defaultdict, deque
-from itertools import takewhile
 from math import exp, log, sqrt
 from typing import Sequence
 
@@ -34,6 +33,7 @@
 SLOWER = 1.3  # a build whose warm machines take so many times as long, less 2/sqrt(n) of it, goes back
 HOLD = 8 * SECOND  # a release held up for this long goes back
 LINGER = 14 * SECOND  # and so does a released build once that lasts so long: no passing trouble
+BRIEF = 2.5  # both are shorter where target times are, as troubles are; this over 1 s is the factor
 RENEW = 0.7  # a vote is cast again after this share of its life
 
 TALE = b"\x01"  # version of the messages
@@ -73,14 +73,13 @@
         self.usual = [row.target / 5 for row in charter.profiles]  # expected work where no hint comes
         self.took = self.work = 1.0 * SECOND  # the fleet's usual ones
         self.gap, self.failing, self.mean_cost = SECOND / 2.0, 0.0, max(self.usual, default=0.0)
-        self.started = self.watch_at = self.slow_since = None  # since when machines are slow, on trial
+        self.started = self.watch_at = self.news = self.slow_since = None  # since when machines are slow
         self.arrivals, self.done_work = Fading(HORIZON / 2), Fading(DONE_IN)
         self.faulty, self.wrongs, self.in_row = Fading(HORIZON), Fading(HORIZON), 0  # whose fault errors were
         self.copies, self.alarm, self.watch_failures, self.complaints, self.praised = 1.0, 0, 0, 0, 0
-        self.news: News | None = None
         self.credit: dict[int, float] = defaultdict(float)  # hand-offs to the trial still free
-        self.fresh, self.share, self.base = min(FRESH, charter.warm_within), 0.0, 0.0  # share: machines on trial
-        self.tags: dict[bytes, str] = {}  # ids of machines by their names among peers
+        self.fresh, self.share, self.base = min(FRESH, charter.warm_within), 0.0, 0.0  # machines on trial
+        self.tags: dict[bytes, str] = {}  # ids of machines that are ready by their names among peers
         self.circle = self.carried = 0.0  # part of the fronts that share a machine; the most one did
         self.tallied = charter.tallies and charter.fronts > CIRCLE and not charter.may_tell
         self.pooled = charter.may_tell and charter.fronts > CIRCLE  # a few fill n* with their own traffic
@@ -144,7 +143,6 @@
                 room = -self.random() * self.mean_cost  # threat: many fronts, a query each
                 known = Machine(*entry[:4], entry.readiness == 1, entry.born, listed, now, place, room)
                 self.machines[known.id] = known
-                self.tags[known.tag] = known.id
         self._regroup()
 
     def release_news(self, now: int, news: News) -> None:
@@ -161,11 +159,12 @@
                 self.news = old._replace(cap=min(old.cap, news.cap))
             return
         if old is None or news.build != old.build:
-            self.trial, self.base = Contrast(), self.stage.pace() if old else 0.0
+            self.trial = Contrast()  # threat: times from before the trial that the last build had slowed
+            self.base = old and old.phase is not Phase.RELEASED and self.base or self.stage.pace()
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
             self.trial = self._sight()[1] if old and old.build == news.build else Contrast()
-            self.stage, self.paces = self.stage.next(), (Pace(), Pace())  # of the earlier build, and the new
-            self.slow_since, self.complaints = None, 0
+            self.stage, self.paces, self.complaints = self.stage.next(), (Pace(), Pace()), 0  # both sides
+            self.slow_since = self.slow_since if news.stage and news.phase is Phase.TRIAL else None
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
         if news.phase not in (Phase.TRIAL, Phase.RELEASED) or not old or news.build != old.build:
@@ -402,7 +401,7 @@
         return None if jammed else nearest  # with next to nothing out, one goes, to learn
 
     def _near(self, now: int, side: list[Machine]) -> list[Machine]:
-        shared = list(takewhile(lambda machine: machine.rank < self.circle, side))
+        shared = [machine for machine in side if machine.rank < self.circle] if self.circle else []
         return shared or side[:min(3 * CIRCLE, max(CIRCLE, round(self._expected(now) * REACH / HORIZON)))]
 
     def _able(self, now: int, held: Query, side: list[Machine]) -> list[Machine]:
@@ -457,6 +456,7 @@
         self.circle = circle if circle * len(self.machines) >= 4 else 0.0  # sharing fewer, it tells nothing
         ready = sorted((one for one in self.machines.values() if one.ready), key=lambda one: one.rank)
         self.sides = tuple([one for one in ready if self._on_trial(one.build) is on] for on in (False, True))
+        self.tags = {machine.tag: machine.id for machine in ready} if self.circle else {}
         self.share = len(self.sides[1]) / max(1, len(self.sides[0]) + len(self.sides[1]))
 
     def _expected(self, now: int) -> float:
@@ -469,10 +469,8 @@
             return None
         lapsed = Verdict.NONE if self.standing == (news.build, news.stage, Verdict.ON) else None
         verdict = self._verdict(now, news) or lapsed  # a vote on that no longer holds is taken back
-        if verdict is None:
-            return None
         vote = (news.build, news.stage, verdict)
-        if vote == self.standing and now < self.stood_at + RENEW * self.charter.vote_life:
+        if verdict is None or vote == self.standing and now < self.stood_at + RENEW * self.charter.vote_life:
             return None
         if vote != self.noted:
             self.noted = vote
@@ -485,7 +483,8 @@
         released, timed = news.phase is Phase.RELEASED, self.charter.control is Control.TIMER
         ahead = None if timed or released else Verdict.ON
         last = news.stage >= len(self.charter.stage_caps) - 1
-        if last and (ahead := self._unless_dragged(now, ahead, LINGER if released else HOLD)) is Verdict.BACK:
+        if (last or news.stage >= self.charter.guarded_stages) and (  # with less traffic none would slow all
+                ahead := self._unless_dragged(now, ahead, LINGER if released else HOLD)) is Verdict.BACK:
             return ahead
         earlier, new = self.paces
         sure = 1 - 2 / sqrt(new.n) if not released and min(earlier.n, new.n) >= 4 * LEAST else 0.0
@@ -509,6 +508,7 @@
 
     def _unless_dragged(self, now: int, ahead: Verdict | None, most: int) -> Verdict | None:
         """Threat: a build that slows every machine, in step with its traffic. May hold up good ones."""
+        most = round(most * min(1.0, BRIEF * self.charter.profiles[0].target / SECOND))
         self.slow_since = (self.slow_since or now) if self.stage.pace() > DRAGGED * self.base > 0 else None
         return ahead if self.slow_since is None else Verdict.BACK if now - self.slow_since >= most else None
 
