--- a/tests/town.py
+++ b/tests/town.py
@@ -152,6 +152,9 @@
         pass
 
     def registerProducer(self, producer, streaming: bool) -> None:
+        if streaming:  # it pushes, and is told to wait by 'full'
+            self.pushes = producer
+            return
         self.producer, self.held = producer, self.party in self.town.slow
         producer.resumeProducing()
         if not self.held:
@@ -281,6 +284,8 @@
             self.slow.add(party)
         elif verb == "written":
             pipes[-1].flush()
+        elif verb == "full":  # full on|off: whether it has stopped reading
+            (pipes[-1].pushes.pauseProducing if rest == "on" else pipes[-1].pushes.resumeProducing)()
         elif verb == "break":
             pipes[-1].end()
         elif verb == "answer":  # answer status body [header=value ...]
@@ -304,6 +309,8 @@
                 pipes[-1].begun = True
                 pipes[-1].receive(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             pipes[-1].receive(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
+        elif verb == "connect":
+            self.up(party)
         elif verb == "raw":
             self.up(party)
             self.pipes[party][-1].receive(plain(rest))
--- a/umbermoor/node/clients.py
+++ b/umbermoor/node/clients.py
@@ -1,8 +1,8 @@
 """Connections of clients: queries in, answers out."""
 
 import logging
+import re
 from collections import deque
-from math import isfinite
 from typing import Callable, Mapping, NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -20,11 +20,15 @@
 
 log = logging.getLogger(__name__)
 
+_ID = re.compile(r"[!-+\--~]{1,128}")  # no comma: a header that was sent twice holds one
+_DECIMAL = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,15})?")
+
 WAY = 2_000  # microseconds that an answer may need to its client
 LONGEST = 3600.0  # seconds; a client that says it waits longer is not believed
 QUEUED = 16  # requests that may stand behind the one in work on a connection
 LINGER = 1.0  # seconds that a client has to close after its last answer
-READ_WITHIN = 10.0  # seconds from a request's first byte to its last
+READ_WITHIN = 2.5  # seconds from connecting, and then from a request's first byte, until that request is whole
+STALE = 2 * SECOND  # a connection without an open request may be closed from then on
 
 
 class Answer(NamedTuple):
@@ -54,14 +58,18 @@
         self.over = 0  # connections beyond the budget
         self.accept: Callable[[bool], None] = lambda on: None  # whether to accept further ones
         self.open: dict[Client, None] = {}  # the one that spoke last stands last
-        budget.spare.append(self.close_one)
 
     def buildProtocol(self, addr) -> "Client":
         return Client(self)
 
-    def close_one(self) -> bool:
-        """The connection that has been idle longest."""
-        idle = next((client for client in self.open if client.idle), None)
+    def close_stale(self) -> bool:
+        """One that has been idle for long. Threat: strangers that stay, at the cost of lines to machines."""
+        return self.close_one(STALE)
+
+    def close_one(self, after: int = 0) -> bool:
+        """The connection that has been idle longest, if that is as long as this."""
+        since = self.clock() - after
+        idle = next((client for client in self.open if client.idle and client.since <= since), None)
         if idle is not None:
             idle.close()
         return idle is not None
@@ -92,7 +100,7 @@
         headers = request.headers
         query, profile = headers.get("x-txn", ""), self.profiles.get(headers.get("x-lane", ""))
         remaining = _number(headers.get("x-remaining", ""))
-        if not query or profile is None or remaining is None or not 0 < remaining <= LONGEST:
+        if not _ID.fullmatch(query) or profile is None or remaining is None or not 0 < remaining <= LONGEST:
             return Answer(400)
         if (request.method == "GET") != (self.repeats[profile] is Repeat.RETRIABLE):
             return Answer(405)
@@ -109,7 +117,8 @@
         self._clients, self._reader = clients, Reader(clients.buffers)
         self._waiting: deque[tuple[Request | Fault, int]] = deque()  # and when they were whole
         self._working: Deferred[Answer] | None = None
-        self._counted = self._closing = False
+        self._counted = self._closing = self._full = False
+        self.since = 0  # when it connected, or had its last answer
         self._timer = None
 
     @property
@@ -122,20 +131,22 @@
         if not self._counted:
             self._clients.count_over(1)
         self._clients.open[self] = None
+        self.since = self._clients.clock()
+        self._timer = self._clients.reactor.callLater(READ_WITHIN, self._too_slow)
+        self.transport.registerProducer(self, True)
 
     def dataReceived(self, data: bytes) -> None:
         if self._closing:
             return
         self._clients.open[self] = self._clients.open.pop(self, None)
         now = self._clients.clock()
-        self._waiting.extend((read, now) for read in self._reader.feed(data))
+        found = self._reader.feed(data)
+        self._waiting.extend((read, now) for read in found)
         if len(self._waiting) > QUEUED:
             self._waiting = deque([*list(self._waiting)[:QUEUED], (Fault(400, "too many requests at once"), now)])
-        if self._reader.midway != (self._timer is not None):
-            if self._timer is None:
-                self._timer = self._clients.reactor.callLater(READ_WITHIN, self._too_slow)
-            else:
-                self._drop_timer()
+        if found:
+            self._drop_timer()
+        self._await_rest()
         self._work()
 
     def connectionLost(self, reason: Failure) -> None:
@@ -151,12 +162,26 @@
         if self._working is not None:
             self._working.cancel()
 
+    def pauseProducing(self) -> None:
+        """Threat: a client that asks on and never reads, whose answers pile up."""
+        self._full = True
+
+    def resumeProducing(self) -> None:
+        self._full = False
+        if self._closing:
+            self.transport.unregisterProducer()
+        else:
+            self._work()
+
+    def stopProducing(self) -> None:
+        """The transport has gone; connectionLost tells the rest."""
+
     def close(self) -> None:
         self._closing = True
         self.transport.loseConnection()
 
     def _work(self) -> None:
-        while self._waiting and self._working is None and not self._closing:
+        while self._waiting and self._working is None and not (self._closing or self._full):
             read, came = self._waiting.popleft()
             if isinstance(read, Fault):
                 note(log, "bad request", logging.DEBUG, status=read.status, why=read.text)
@@ -179,6 +204,8 @@
         self._working = None
         if not self._closing:
             self._answer(answer, keep)
+        if not self._closing:
+            self._await_rest()
             if self._waiting:
                 self._clients.reactor.callLater(0, self._work)
 
@@ -190,7 +217,8 @@
                 self._answer(Answer(500), False)
 
     def _answer(self, answer: Answer, keep: bool) -> None:
-        keep = keep and not self._clients.leaving
+        keep = keep and not self._clients.leaving and not 400 <= answer.status < 500  # who errs connects again
+        self.since = self._clients.clock()
         self.transport.write(write_response(answer.status, answer.body, keep, answer.headers))
         if not keep:
             self._linger()
@@ -203,10 +231,17 @@
         self.transport.loseWriteConnection()
         self._timer = self._clients.reactor.callLater(LINGER, self.transport.abortConnection)
 
+    def _await_rest(self) -> None:
+        if self._timer is None and self._reader.midway and self._working is None:
+            self._timer = self._clients.reactor.callLater(READ_WITHIN, self._too_slow)
+
     def _too_slow(self) -> None:
         self._timer = None
-        if self._reader.midway and self._working is None and not self._closing:
-            self._answer(Answer(408), False)
+        if self._working is None and not self._closing:
+            if self._reader.midway:
+                self._answer(Answer(408), False)
+            else:
+                self.close()
 
     def _drop_timer(self) -> None:
         if self._timer is not None and self._timer.active():
@@ -215,8 +250,5 @@
 
 
 def _number(text: str) -> float | None:
-    try:
-        value = float(text)
-    except ValueError:
-        return None
-    return value if isfinite(value) else None
+    """Threat: what float() takes beside numbers as clients write them (nan, 1_0, digits of other scripts)."""
+    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/umbermoor/node/machines.py
+++ b/umbermoor/node/machines.py
@@ -29,7 +29,6 @@
         self._reactor, self._clock, self._buffers, self._budget, self._host = reactor, clock, buffers, budget, host
         self._connect_within, self._idle_most = connect_within, max(idle_close // 2, idle_close - IDLE_SAFE)
         self._places: dict[str, _Place] = {}
-        budget.spare.append(self._close_one)
 
     def listed(self, whole: bool, places: Mapping[str, tuple[tuple[str, int], bool] | None]) -> None:
         """Where machines listen and whether they are ready; none: gone."""
@@ -95,7 +94,7 @@
             line.close()
         place.idle.clear()
 
-    def _close_one(self) -> bool:
+    def close_one(self) -> bool:
         """The one that has stood idle longest; those that have closed meanwhile are passed over."""
         for place in self._places.values():
             place.idle = [line for line in place.idle if line.open]
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -55,6 +55,7 @@
                                              station.load_fields)
         self._clients = Clients(reactor, clock, buffers, self._budget, station.profiles,
                                 [row.repeat for row in charter.profiles], exchange.ask)
+        self._budget.spare = [self._clients.close_stale, self._machines.close_one, self._clients.close_one]
         self._platform = exchange.platform = Platform(reactor, buffers, station.platform, charter.vote_wait,
                                                       station.profiles, self._told)
         self._discovery = Discovery(reactor, buffers, station.discovery, station.zones, self._listed)
