--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -69,6 +69,11 @@
     def midway(self) -> bool:
         return self._head is not None or self._filled > 0
 
+    @property
+    def _streamed(self) -> bool:
+        """Threat: the text of an error read as what a stream tells."""
+        return self._as_pieces and self._head is not None and self._head[0] == 200
+
     def feed(self, data: bytes) -> list[Read]:
         found: list[Read] = []
         rest = memoryview(data)
@@ -91,7 +96,7 @@
 
     def end(self) -> Read | None:
         """The stream has ended: a message that it completes, or cuts short."""
-        if self._head is not None and self._framing is _Body.UNTIL_CLOSE and not self._as_pieces:
+        if self._head is not None and self._framing is _Body.UNTIL_CLOSE and not self._streamed:
             return self._message(bytes(self._buffer[:self._filled]) if self._buffer else b"")
         return Fault(400, "cut short") if self.midway and not self._dead else None
 
@@ -182,7 +187,7 @@
         if self._framing is _Body.CHUNKED:
             return self._read_chunks(found)
         if self._framing is _Body.UNTIL_CLOSE:
-            if self._as_pieces and self._filled:
+            if self._streamed and self._filled:
                 found.append(Piece(bytes(self._buffer[:self._filled])))
                 self._consume(self._filled)
             return Fault(413, "body too large") if self._filled > BODY_MOST else None
@@ -220,7 +225,7 @@
                 return Fault(400, "garbled chunk")
             data = bytes(self._buffer[end + 2:end + 2 + count])
             self._consume(end + 4 + count)
-            if self._as_pieces:
+            if self._streamed:
                 found.append(Piece(data))
             else:
                 self._size += count
--- a/umbermoor/logs.py
+++ b/umbermoor/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from collections import Counter
 from typing import Any
 
 
@@ -15,6 +16,29 @@
         return " ".join(f"{key}={_shown(value)}" for key, value in pairs.items())
 
 
+class Sparing(logging.Filter):
+    """Threat: strangers who fill the log. So many lines a second with one text; the next second tells what was left out."""
+
+    MOST = 40
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._second, self._lines, self._left_out = 0, Counter[str](), Counter[str]()
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if int(record.created) != self._second:
+            self._second = int(record.created)
+            self._lines.clear()
+        what = str(record.msg)
+        self._lines[what] += 1
+        if self._lines[what] > self.MOST:
+            self._left_out[what] += 1
+            return False
+        if left_out := self._left_out.pop(what, 0):
+            record.with_ = getattr(record, "with_", {}) | {"left_out": left_out}
+        return True
+
+
 def _shown(value: Any) -> str:
     text = str(value)
     return text if text and text.isprintable() and not set(' "=') & set(text) else '"' + "".join(
@@ -24,6 +48,7 @@
 def start_log(level: str = "INFO") -> None:
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValues())
+    handler.addFilter(Sparing())
     logging.basicConfig(level=level, handlers=[handler], force=True)
 
 
--- a/umbermoor/node/discovery.py
+++ b/umbermoor/node/discovery.py
@@ -18,8 +18,8 @@
 log = logging.getLogger(__name__)
 
 PATH = "/discovery/hosts"
-WAIT_MS = 10_000  # how long a watch may wait for news
-ANSWER_WITHIN = 2 * SECOND  # what is waited for an answer beyond that
+WAIT_MS = 2_000  # how long a watch may wait for news; an answer that breaks off is noticed no sooner
+ANSWER_WITHIN = SECOND  # what is waited for an answer beyond that
 AGAIN_FIRST, AGAIN_MOST = 0.05, 1.0  # seconds until a failed call is made again, doubling
 
 _STATES = {"SERVING": Readiness.READY, "DRAINING": Readiness.DRAINING, "DELETED": Readiness.GONE}
--- a/umbermoor/node/exchange.py
+++ b/umbermoor/node/exchange.py
@@ -173,7 +173,8 @@
 
     def _note_loss(self, machine: str, how: Ending) -> None:
         if self._clock() > self._lost.get(machine, 0) + LOST_EVERY:
-            self._lost[machine] = self._clock()
+            since = self._clock() - LOST_EVERY  # threat: a record of every machine that there ever was
+            self._lost = {one: at for one, at in self._lost.items() if at > since} | {machine: self._clock()}
             note(log, "machine lost", logging.WARNING, machine=machine, ending=how.name.lower())
 
     def _faulted(self, failure, id: str) -> None:
--- a/umbermoor/node/lines.py
+++ b/umbermoor/node/lines.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
@@ -86,7 +87,7 @@
 
     def connectionLost(self, reason: Failure) -> None:
         self.open = False
-        last = self._reader.end()
+        last = self._reader.end() if reason.check(ConnectionDone) else None  # threat: a reset taken for a body's end
         self._reader.drop()
         if self._answer is not None:
             whole = last is not None and not isinstance(last, Fault) and self.progress >= Progress.WHOLE
