--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -4,11 +4,12 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from umbermoor.http1.buffers import BODY_MOST, HEAD_MOST, SIZE, Buffers
+from umbermoor.http1.buffers import BODY_MOST, HEAD_MOST, MESSAGE_MOST, Buffers, Run
 
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _REQUEST = re.compile(rf"({_TOKEN.pattern}) ([!-~]+) HTTP/1\.([01])")
 _RESPONSE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n]*)?")
+LINE_MOST = 1024  # of the framing of chunks
 _SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?")
 
 
@@ -50,24 +51,23 @@
 
 
 class Reader:
-    """Holds a buffer only while a message is partly read."""
+    """Holds buffers only while a message is partly read."""
 
     def __init__(self, buffers: Buffers, responses: bool = False, as_pieces: bool = False) -> None:
-        self._buffers, self._responses, self._as_pieces = buffers, responses, as_pieces
-        self._buffer: bytearray | None = None
-        self._filled = self._at = 0  # bytes held; those of them that are understood
+        self._run, self._responses, self._as_pieces = Run(buffers), responses, as_pieces
+        self._at = 0  # bytes held that are understood, or seen not to end a head
         self._dead = False
         self._clear()
 
     def _clear(self) -> None:
         self._head: tuple | None = None
         self._framing, self._length, self._trailers = _Body.LENGTH, 0, False
-        self._chunks: list[bytes] = []
+        self._chunks: list[tuple[int, int]] = []  # where they lie
         self._size = 0
 
     @property
     def midway(self) -> bool:
-        return self._head is not None or self._filled > 0
+        return self._head is not None or self._run.size > 0
 
     @property
     def _streamed(self) -> bool:
@@ -78,36 +78,29 @@
         found: list[Read] = []
         rest = memoryview(data)
         while rest and not self._dead:
-            if self._buffer is None:
-                self._buffer = self._buffers.take()
-            part = rest[:SIZE - self._filled]
-            self._buffer[self._filled:self._filled + len(part)] = part
-            self._filled += len(part)
-            rest = rest[len(part):]
-            fault = self._parse(found)
-            if fault is None and self._filled == SIZE:
+            part, rest = rest[:MESSAGE_MOST - self._run.size], rest[MESSAGE_MOST - self._run.size:]
+            fault = self._parse(found) if self._run.add(part) else Fault(503, "no memory left for it")
+            if fault is None and self._run.size == MESSAGE_MOST:
                 fault = Fault(413, "message too large")
             if fault is not None:
                 found.append(fault)
                 self._dead = True
-        if self._buffer is not None and (self._dead or not self._filled):
+        if self._dead:
             self.drop()
         return found
 
     def end(self) -> Read | None:
         """The stream has ended: a message that it completes, or cuts short."""
         if self._head is not None and self._framing is _Body.UNTIL_CLOSE and not self._streamed:
-            return self._message(bytes(self._buffer[:self._filled]) if self._buffer else b"")
+            return self._message(self._run.part(0, self._run.size))
         return Fault(400, "cut short") if self.midway and not self._dead else None
 
     def drop(self) -> None:
-        """Gives the buffer back; for when the connection is gone too."""
-        if self._buffer is not None:
-            self._buffers.give(self._buffer)
-            self._buffer, self._filled, self._at = None, 0, 0
+        """Gives the buffers back; for when the connection is gone too."""
+        self._consume(self._run.size)
 
     def _parse(self, found: list[Read]) -> Fault | None:
-        while self._filled or self._head is not None:
+        while self._run.size or self._head is not None:
             if self._head is None:
                 fault = self._read_head()
                 if fault is not None or self._head is None:
@@ -122,10 +115,8 @@
         return None
 
     def _consume(self, count: int) -> None:
-        rest = self._filled - count
-        if rest:
-            self._buffer[:rest] = self._buffer[count:self._filled]
-        self._filled, self._at = rest, 0
+        self._run.drop(count)
+        self._at = 0
 
     def _message(self, body: bytes) -> Read:
         first, headers, keep = self._head
@@ -135,12 +126,13 @@
 
     def _read_head(self) -> Fault | None:
         if not self._responses:
-            while self._filled >= 2 and self._buffer[:2] == b"\r\n":  # an empty line before a request is allowed
+            while self._run.part(0, 2) == b"\r\n":  # an empty line before a request is allowed
                 self._consume(2)
-        end = self._buffer.find(b"\r\n\r\n", 0, min(self._filled, HEAD_MOST))
+        end = self._run.find(b"\r\n\r\n", self._at, HEAD_MOST)
         if end < 0:
-            return Fault(431, "head too large") if self._filled >= HEAD_MOST else None
-        first, *lines = self._buffer[:end].decode("latin-1").split("\r\n")
+            self._at = max(0, self._run.size - 3)
+            return Fault(431, "head too large") if self._run.size >= HEAD_MOST else None
+        first, *lines = self._run.part(0, end).decode("latin-1").split("\r\n")
         line = (_RESPONSE if self._responses else _REQUEST).fullmatch(first)
         if line is None:
             return Fault(400, "no such first line")
@@ -187,30 +179,30 @@
         if self._framing is _Body.CHUNKED:
             return self._read_chunks(found)
         if self._framing is _Body.UNTIL_CLOSE:
-            if self._streamed and self._filled:
-                found.append(Piece(bytes(self._buffer[:self._filled])))
-                self._consume(self._filled)
-            return Fault(413, "body too large") if self._filled > BODY_MOST else None
-        if self._filled < self._length:
+            if self._streamed and self._run.size:
+                found.append(Piece(self._run.part(0, self._run.size)))
+                self._consume(self._run.size)
+            return Fault(413, "body too large") if self._run.size > BODY_MOST else None
+        if self._run.size < self._length:
             return None
-        body = bytes(self._buffer[:self._length]) if self._length else b""
-        if self._length:
-            self._consume(self._length)
+        body = self._run.part(0, self._length)
+        self._consume(self._length)
         return body
 
     def _read_chunks(self, found: list[Read]) -> bytes | Fault | None:
         while True:
-            end = self._buffer.find(b"\r\n", self._at, self._filled) if self._buffer is not None else -1
+            end = self._run.find(b"\r\n", self._at, self._at + LINE_MOST)
             if end < 0:
-                return Fault(400, "garbled chunk") if self._filled - self._at > 1024 else None
+                return Fault(400, "garbled chunk") if self._run.size - self._at >= LINE_MOST else None
             if self._trailers:  # passed over, up to an empty line
                 last = end == self._at
                 self._at = end + 2
                 if last:
+                    body = b"".join(self._run.part(*chunk) for chunk in self._chunks)
                     self._consume(self._at)
-                    return b"".join(self._chunks)
+                    return body
                 continue
-            size = _SIZE.fullmatch(self._buffer[self._at:end])
+            size = _SIZE.fullmatch(self._run.part(self._at, end))
             if size is None:
                 return Fault(400, "garbled chunk")
             count = int(size[1], 16)
@@ -219,14 +211,14 @@
             if not count:
                 self._trailers, self._at = True, end + 2
                 continue
-            if self._filled < end + 2 + count + 2:
+            if self._run.size < end + 2 + count + 2:
                 return None
-            if self._buffer[end + 2 + count:end + 4 + count] != b"\r\n":
+            if self._run.part(end + 2 + count, end + 4 + count) != b"\r\n":
                 return Fault(400, "garbled chunk")
-            data = bytes(self._buffer[end + 2:end + 2 + count])
-            self._consume(end + 4 + count)
             if self._streamed:
-                found.append(Piece(data))
+                found.append(Piece(self._run.part(end + 2, end + 2 + count)))
+                self._consume(end + 4 + count)
             else:
                 self._size += count
-                self._chunks.append(data)
+                self._chunks.append((end + 2, end + 2 + count))
+                self._at = end + 4 + count
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -47,15 +47,15 @@
 class Service:
     def __init__(self, reactor, station: Station, clock: Clock) -> None:
         self._reactor, self._station = reactor, station
-        buffers, self._budget = Buffers(), Budget(station.sockets)
+        buffers, budget = self._buffers, self._budget = Buffers(station.memory), Budget(station.sockets)
         charter = station.charter
-        self._machines = Machines(reactor, clock, buffers, self._budget, station.connect_within, station.idle_close,
+        self._machines = Machines(reactor, clock, buffers, budget, station.connect_within, station.idle_close,
                                   station.service)
         self._exchange = exchange = Exchange(reactor, clock, Desk(charter, clock), self._machines,
                                              station.load_fields)
-        self._clients = Clients(reactor, clock, buffers, self._budget, station.profiles,
+        self._clients = Clients(reactor, clock, buffers, budget, station.profiles,
                                 [row.repeat for row in charter.profiles], exchange.ask)
-        self._budget.spare = [self._clients.close_stale, self._machines.close_one, self._clients.close_one]
+        budget.spare = [self._clients.close_stale, self._machines.close_one, self._clients.close_one]
         self._platform = exchange.platform = Platform(reactor, buffers, station.platform, charter.vote_wait,
                                                       station.profiles, self._told)
         self._discovery = Discovery(reactor, buffers, station.discovery, station.zones, self._listed)
@@ -125,11 +125,12 @@
             note(log, "configuration not taken, the old one goes on", logging.WARNING, fault=fault)
             return
         old, self._station = self._station, station
-        moved = [name for name in ("discovery", "platform", "sockets") if getattr(old, name) != getattr(station, name)]
+        moved = [name for name in ("discovery", "platform", "sockets", "memory") if getattr(old, name) != getattr(station, name)]
         kept = [name for name in ("name", "listen", "charter", "profiles", "zones", "connect_within", "idle_close",
                                   "service", "load_fields") if getattr(old, name) != getattr(station, name)]
         note(log, "configuration read again", changed=" ".join(moved), needs_a_restart=" ".join(kept))
         self._budget.resize(station.sockets)
+        self._buffers.resize(station.memory)
         if "discovery" in moved:
             self._discovery.move(station.discovery)
         if "platform" in moved:
--- a/umbermoor/station.py
+++ b/umbermoor/station.py
@@ -18,6 +18,7 @@
     "domain": ("to_advance", "back_votes", "to_pause", "vote_life_ms", "vote_wait_ms", "least_stage_ms",
                "guarded_stages", "spare_tries", "metrics_period_ms", "complaint_share")}
 
+MEMORY_LEAST = 28  # MB, of which the interpreter and its libraries take most
 SOCKETS_LEAST = 40  # with fewer nothing is left for clients and machines
 
 
@@ -33,6 +34,7 @@
     platform: Address
     charter: Charter
     sockets: int
+    memory: int  # in bytes
     profiles: Mapping[str, int]  # the place of each profile's name
     zones: Mapping[str, int]
     connect_within: int
@@ -95,12 +97,17 @@
     zones = _at(settings, "zones", list, [], within="settings.")
     reports = _at(settings, "load_info", dict, {}, within="settings.")
     api = _at(given, "release_api", dict)
-    sockets = _at(_at(given, "limits", dict, {}), "sockets", int, 1024, within="limits.")
+    bounds = _at(given, "limits", dict, {})
+    sockets = _at(bounds, "sockets", int, 1024, within="limits.")
+    memory = _at(bounds, "memory_mb", float, 64.0, within="limits.")
     if sockets < SOCKETS_LEAST:
         raise Misplaced(f"limits.sockets: {sockets} is fewer than the {SOCKETS_LEAST} that a front needs")
+    if memory < MEMORY_LEAST:
+        raise Misplaced(f"limits.memory_mb: {memory} is less than the {MEMORY_LEAST} that a front needs")
     return Station(
         name=_at(given, "name", str, "front"), listen=_address(given, "listen"), discovery=_address(given, "discovery"),
         platform=_address(api, "address", "release_api."), charter=charter, sockets=sockets,
+        memory=round(memory * 2 ** 20),
         profiles={row["name"]: place for place, row in enumerate(rows)},
         zones={name: place for place, name in enumerate(zones)},
         connect_within=micros(_at(limits, "connect_timeout_ms", float, 1000.0, within="settings.limits.")),
