--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -33,6 +33,7 @@
 SLOWER = 1.3  # a build whose warm machines take so many times as long, less 2/sqrt(n) of it, goes back
 HOLD = 8 * SECOND  # a release held up for this long goes back
 LINGER = 14 * SECOND  # and so does a released build once that lasts so long: no passing trouble
+FELT = 0.2  # a slowness that begins while fewer of the machines are on trial has another cause
 BRIEF = 2.5  # both are shorter where target times are, as troubles are; this over 1 s is the factor
 RENEW = 0.7  # a vote is cast again after this share of its life
 
@@ -159,12 +160,11 @@
                 self.news = old._replace(cap=min(old.cap, news.cap))
             return
         if old is None or news.build != old.build:
-            self.trial = Contrast()  # threat: times from before the trial that the last build had slowed
+            self.trial, self.slow_since = Contrast(), None  # threat: a base that the last build had slowed
             self.base = old and old.phase is not Phase.RELEASED and self.base or self.stage.pace()
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
             self.trial = self._sight()[1] if old and old.build == news.build else Contrast()
             self.stage, self.paces, self.complaints = self.stage.next(), (Pace(), Pace()), 0  # both sides
-            self.slow_since = self.slow_since if news.stage and news.phase is Phase.TRIAL else None
         if old is None or news.build != old.build or news.cap < old.cap:
             self.credit.clear()
         if news.phase not in (Phase.TRIAL, Phase.RELEASED) or not old or news.build != old.build:
@@ -483,9 +483,9 @@
         released, timed = news.phase is Phase.RELEASED, self.charter.control is Control.TIMER
         ahead = None if timed or released else Verdict.ON
         last = news.stage >= len(self.charter.stage_caps) - 1
-        if (last or news.stage >= self.charter.guarded_stages) and (  # with less traffic none would slow all
-                ahead := self._unless_dragged(now, ahead, LINGER if released else HOLD)) is Verdict.BACK:
-            return ahead
+        if (held := self._unless_dragged(now, ahead, LINGER if released else HOLD)) is Verdict.BACK:
+            return held
+        ahead = held if last else ahead  # no other waits: it may pass, and the build be good
         earlier, new = self.paces
         sure = 1 - 2 / sqrt(new.n) if not released and min(earlier.n, new.n) >= 4 * LEAST else 0.0
         if sure * new.mean() > SLOWER * earlier.mean():  # threat: more work, yet in time at light load
@@ -502,15 +502,15 @@
                           or self._trails(new.mean(True), new.n, earlier.mean(True), SOUND))
                 return Verdict.BACK if trails else ahead
         trails = stage.new.n and stage.new.mean(released) < stage.earlier.mean(released)
-        if clock:
-            return None if trails else ahead
-        return Verdict.HOLD if timed and trails else None
+        return (None if trails else ahead) if clock else Verdict.HOLD if timed and trails else None
 
     def _unless_dragged(self, now: int, ahead: Verdict | None, most: int) -> Verdict | None:
         """Threat: a build that slows every machine, in step with its traffic. May hold up good ones."""
         most = round(most * min(1.0, BRIEF * self.charter.profiles[0].target / SECOND))
-        self.slow_since = (self.slow_since or now) if self.stage.pace() > DRAGGED * self.base > 0 else None
-        return ahead if self.slow_since is None else Verdict.BACK if now - self.slow_since >= most else None
+        since = now if self.share >= FELT or self.news.phase is Phase.RELEASED else 1 << 62  # not by it
+        self.slow_since = (self.slow_since or since) if self.stage.pace() > DRAGGED * self.base > 0 else None
+        lasted = now - (self.slow_since or 1 << 62)
+        return ahead if lasted < 0 else Verdict.BACK if lasted >= most else None
 
     def _trails(self, new: float, n: float, earlier: float, sure: float = SURE) -> bool:
         """Whether the new build's posterior mean lies under the earlier mean by more than the margin."""
