--- a/tests/town.py
+++ b/tests/town.py
@@ -339,6 +339,9 @@
                 pipes[-1].begun = True
                 pipes[-1].receive(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             pipes[-1].receive(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
+        elif verb == "crowd":  # crowd n: so many clients that ask once, and stay
+            for at in range(int(rest)):
+                self.act(f"{party}x{at}", "raw", r"GET /up HTTP/1.1\r\n\r\n")
         elif verb == "connect":
             self.up(party)
         elif verb == "raw":
