--- a/umbermoor/node/clients.py
+++ b/umbermoor/node/clients.py
@@ -28,7 +28,7 @@
 QUEUED = 16  # requests that may stand behind the one in work on a connection
 LINGER = 1.0  # seconds that a client has to close after its last answer
 READ_WITHIN = 2.5  # seconds from connecting, and then from a request's first byte, until that request is whole
-IDLE_PART, IDLE_LEAST = 6, 16  # one in so many of the budget's connections may be idle clients', or so many
+ONCE_PART, ONCE_LEAST = 6, 16  # one in so many of the budget's connections may have asked once and stay, or so many
 STALE = 2 * SECOND  # a connection without an open request may be closed from then on
 
 
@@ -57,7 +57,7 @@
         self.profiles, self.repeats = profiles, repeats
         self.up = self.leaving = False
         self.over = 0  # connections beyond the budget
-        self.working = 0  # connections with a query in work
+        self.once: dict[Client, None] = {}  # idle since their first answer, the longest first
         self.accept: Callable[[bool], None] = lambda on: None  # whether to accept further ones
         self.open: dict[Client, None] = {}  # the one that spoke last stands last
 
@@ -66,8 +66,9 @@
 
     @property
     def crowded(self) -> bool:
-        """Threat: clients that ask once and stay hold what they may open, and then cannot ask at all."""
-        return len(self.open) - self.working > max(IDLE_LEAST, self.budget.most // IDLE_PART)
+        """Threat: clients that ask once and stay hold what they may open, and then cannot ask at all. Those that ask
+        again are not counted, nor told to close: their next connection would cost more than this one."""
+        return len(self.once) > max(ONCE_LEAST, self.budget.most // ONCE_PART)
 
     def close_stale(self) -> bool:
         """One that has been idle for long. Threat: strangers that stay, at the cost of lines to machines."""
@@ -125,6 +126,7 @@
         self._waiting: deque[tuple[Request | Fault, int]] = deque()  # and when they were whole
         self._working: Deferred[Answer] | None = None
         self._counted = self._closing = self._full = False
+        self._first = True  # no answer yet
         self.since = 0  # when it connected, or had its last answer
         self._timer = None
 
@@ -146,6 +148,7 @@
         if self._closing:
             return
         self._clients.open[self] = self._clients.open.pop(self, None)
+        self._clients.once.pop(self, None)
         now = self._clients.clock()
         found = self._reader.feed(data)
         self._waiting.extend((read, now) for read in found)
@@ -162,6 +165,7 @@
         self._reader.drop()
         self._waiting.clear()
         self._clients.open.pop(self, None)
+        self._clients.once.pop(self, None)
         if self._counted:
             self._clients.budget.give()
         else:
@@ -205,16 +209,10 @@
                 self._answer(found, read.keep)
                 continue
             self._working = working = self._clients.ask(found)
-            self._clients.working += 1
-            working.addBoth(self._worked)
             working.addCallbacks(self._answered, self._faulted, callbackArgs=(read.keep,))
 
-    def _worked(self, result: Answer | Failure) -> Answer | Failure:
-        self._working = None
-        self._clients.working -= 1
-        return result
-
     def _answered(self, answer: Answer, keep: bool) -> None:
+        self._working = None
         if not self._closing:
             self._answer(answer, keep)
         if not self._closing:
@@ -223,15 +221,19 @@
                 self._clients.reactor.callLater(0, self._work)
 
     def _faulted(self, failure: Failure) -> None:
+        self._working = None
         if not failure.check(CancelledError):
             note_failure(log, "fault in a query", failure)
             if not self._closing:
                 self._answer(Answer(500), False)
 
     def _answer(self, answer: Answer, keep: bool) -> None:
-        if keep and self._clients.crowded:
-            keep = False
-            self._clients.close_stale()
+        if keep and self._first:
+            self._first = False
+            self._clients.once[self] = None
+            if self._clients.crowded:
+                keep = False
+                self._clients.close_stale()
         keep = keep and not self._clients.leaving and not 400 <= answer.status < 500  # who errs connects again
         self.since = self._clients.clock()
         self.transport.write(write_response(answer.status, answer.body, keep, answer.headers))
--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -227,7 +227,6 @@
         if ending not in (Ending.CANCELLED, Ending.MOOT, Ending.TIMEOUT):
             failed = self.faulty.at(now) < MOST if ending is Ending.ERROR else ending is not Ending.OK
             machine.fails += (failed - machine.fails) * LEARN
-            self.failing += (failed - self.failing) * LEARN / 10
 
     def _score(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
         """Threat: queries that fail everywhere look like a bad build: errors count if done well elsewhere."""
@@ -294,7 +293,8 @@
         if now >= self.judged_at + BEAT / 4:
             if vote := self._vote(now):
                 return vote
-            self.judged_at = now
+            self.judged_at, all_fails = now, [min(LEARN, one.fails) for one in self.machines.values()]
+            self.failing = sum(all_fails) / max(1, len(all_fails))  # threat: the worst made a measure for all
             warm = sum(1 for other in self.machines.values() if self._warmth(now, other) >= 1)
             if 2 * warm >= len(self.machines):  # else the work was done by machines that have left
                 self.carried = max(self.carried, self.done_work.at(now) / DONE_IN / max(1, warm))
