--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -1,8 +1,7 @@
 """Every decision of one front: which machine takes a query, what is given up on, and how to vote on a build.
 
 A host makes one Front from its Charter, reports what it sees (that only takes note), and calls decide(now)
-until it answers None. Calls: umbermoor/interface.py; reasons: docs/design.md. Times: whole microseconds.
-"""
+until it answers None. Calls: umbermoor/interface.py; reasons: docs/design.md. Times: whole microseconds."""
 
 import heapq
 import random
@@ -225,8 +224,10 @@
             self.gap += (machine.heard(now, LEARN, self.gap) - self.gap) * LEARN / 10
         machine.silent_since = machine.silent_since if machine.open else None  # idle, it is not silent
         if ending not in (Ending.CANCELLED, Ending.MOOT, Ending.TIMEOUT):
-            failed = self.faulty.at(now) < MOST if ending is Ending.ERROR else ending is not Ending.OK
+            blamed = self.wrongs.at(now) > MOST * (self.faulty.at(now) - MOST)  # not the queries
+            failed = blamed if ending is Ending.ERROR else ending is not Ending.OK
             machine.fails += (failed - machine.fails) * LEARN
+            self.failing += (failed - self.failing) * LEARN / 10
 
     def _score(self, now: int, held: Query, hand_off: HandOff, ending: Ending, took: int) -> None:
         """Threat: queries that fail everywhere look like a bad build: errors count if done well elsewhere."""
@@ -294,7 +295,7 @@
             if vote := self._vote(now):
                 return vote
             self.judged_at, all_fails = now, [min(LEARN, one.fails) for one in self.machines.values()]
-            self.failing = sum(all_fails) / max(1, len(all_fails))  # threat: the worst made a measure for all
+            self.failing = min(self.failing, sum(all_fails) / max(1, len(all_fails)))  # not the worst ones
             warm = sum(1 for other in self.machines.values() if self._warmth(now, other) >= 1)
             if 2 * warm >= len(self.machines):  # else the work was done by machines that have left
                 self.carried = max(self.carried, self.done_work.at(now) / DONE_IN / max(1, warm))
@@ -361,11 +362,10 @@
     def _may(self, now: int, held: Query, machine: Machine) -> bool:
         """The one gate of the rules: whether this query may be handed to this machine now."""
         charter, profile, hand_offs = self.charter, self.charter.profiles[held.profile], held.hand_offs
-        ran = held.ran
         if (held.ended or now >= held.due or len(hand_offs) >= charter.most_hand_offs
                 or not machine.ready  # drains: none of the grace is used
                 or hand_offs and hand_offs[-1].ending is None and not charter.may_copy
-                or ran and profile.repeat is Repeat.BINDING
+                or (ran := held.ran) and profile.repeat is Repeat.BINDING
                 or ran and profile.repeat is Repeat.FINGERPRINTED and (
                     now - ran.sent >= profile.window
                     or profile.group is Group.ZONE and machine.zone != ran.machine.zone
