--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -125,9 +125,13 @@
             note(log, "configuration not taken, the old one goes on", logging.WARNING, fault=fault)
             return
         old, self._station = self._station, station
-        moved = [name for name in ("discovery", "platform", "sockets", "memory") if getattr(old, name) != getattr(station, name)]
-        kept = [name for name in ("name", "listen", "charter", "profiles", "zones", "connect_within", "idle_close",
-                                  "service", "load_fields") if getattr(old, name) != getattr(station, name)]
+
+        def changed(*names: str) -> list[str]:
+            return [name for name in names if getattr(old, name) != getattr(station, name)]
+
+        moved = changed("discovery", "platform", "sockets", "memory")
+        kept = changed("name", "listen", "charter", "profiles", "zones", "connect_within", "idle_close", "service",
+                       "load_fields")
         note(log, "configuration read again", changed=" ".join(moved), needs_a_restart=" ".join(kept))
         self._budget.resize(station.sockets)
         self._buffers.resize(station.memory)
--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -159,7 +159,7 @@
                 self.news = old._replace(cap=min(old.cap, news.cap))
             return
         if old is None or news.build != old.build:
-            self.trial, self.slow_since = Contrast(), None  # threat: a base that the last build had slowed
+            self.trial, self.slow_since = Contrast(), None  # threat: a base slowed by the last build
             self.base = old and old.phase is not Phase.RELEASED and self.base or self.stage.pace()
         if old is None or (old.build, old.phase, old.stage) != (news.build, news.phase, news.stage):
             self.trial = self._sight()[1] if old and old.build == news.build else Contrast()
@@ -224,8 +224,8 @@
             self.gap += (machine.heard(now, LEARN, self.gap) - self.gap) * LEARN / 10
         machine.silent_since = machine.silent_since if machine.open else None  # idle, it is not silent
         if ending not in (Ending.CANCELLED, Ending.MOOT, Ending.TIMEOUT):
-            blamed = self.wrongs.at(now) > MOST * (self.faulty.at(now) - MOST)  # not the queries
-            failed = blamed if ending is Ending.ERROR else ending is not Ending.OK
+            failed = ending is not Ending.OK and (ending is not Ending.ERROR or  # an error may be the query's
+                                                  self.wrongs.at(now) > MOST * (self.faulty.at(now) - MOST))
             machine.fails += (failed - machine.fails) * LEARN
             self.failing += (failed - self.failing) * LEARN / 10
 
