--- a/umbermoor/__init__.py
+++ b/umbermoor/__init__.py
@@ -1,3 +1,3 @@
 """umbermoor: a sidecar that votes on staged releases and routes queries."""
 
-VERSION = "0.9.0"
+VERSION = "0.10.0"
--- a/umbermoor/__main__.py
+++ b/umbermoor/__main__.py
@@ -4,18 +4,25 @@
   umbermoor serve [--config FILE] [--log LEVEL]
   umbermoor check [--config FILE]
   umbermoor version
+  umbermoor lab [<words>...]
+  umbermoor capture [<words>...]
+  umbermoor plan [<words>...]
   umbermoor (-h | --help)
 
 Commands:
   serve    serve queries until SIGTERM; SIGHUP reads the configuration again
   check    read the configuration, and say what it holds or which key is at fault
   version  print the version
+  lab      play days in virtual time or on loopback, compare, report; see umbermoor lab --help
+  capture  what a front was asked, as it wrote it down; see umbermoor capture --help
+  plan     what breaks first, and how many machines hold the goal; see umbermoor plan --help
 
 Options:
   --config FILE  the configuration, in place of the one that LB_CONFIG names
   --log LEVEL    DEBUG, INFO, WARNING or ERROR [default: INFO]
 """
 
+import importlib
 import os
 import sys
 from functools import partial
@@ -27,7 +34,24 @@
 from umbermoor.station import Misplaced, read_station
 
 
+EXTRAS = {"lab": "umbermoor.lab.command", "capture": "umbermoor.capture.command", "plan": "umbermoor.planner.command"}
+
+
+def extra(words: list[str]) -> int:
+    """A sub-command of its own, with its own words. Threat: what serve does not use, in its memory."""
+    try:
+        command = importlib.import_module(EXTRAS[words[0]])
+    except ModuleNotFoundError as error:
+        if (error.name or "").startswith("umbermoor"):
+            raise
+        print(f"umbermoor: {words[0]}: {error.name} is not installed: pip install -e '.[all]'", file=sys.stderr)
+        return 2
+    return command.main(words)
+
+
 def main(words: list[str]) -> int:
+    if words and words[0] in EXTRAS:
+        return extra(words)
     given = docopt(__doc__, words)
     if given["version"]:
         print(f"umbermoor {VERSION}")
--- /dev/null
+++ b/umbermoor/lab/command.py
@@ -0,0 +1,163 @@
+"""The laboratory's sub-commands.
+
+Usage:
+  umbermoor lab days
+  umbermoor lab day DAY [--seed N] [--json OUT] [--html OUT] [--sockets] [--quiet]
+  umbermoor lab compare FIRST SECOND [--days NAMES] [--seeds N] [--keep FILE] [--workers N]
+  umbermoor lab report JSON HTML
+  umbermoor lab (-h | --help)
+
+Commands:
+  days     the days that are shipped
+  day      play one: a shipped day by name, or a sheet by its path; with --sockets on loopback
+  compare  two revisions of this repository over days and seeds, by paired differences; '.' is this tree as it stands
+  report   the page of an outcome that was kept as JSON
+
+Options:
+  --seed N      in place of the day's own
+  --json OUT    the outcome as JSON; '-' for standard output
+  --html OUT    the outcome as a page
+  --sockets     stand-ins and fronts on loopback, in real time, in place of virtual time
+  --quiet       no progress
+  --days NAMES  comma between [default: calm,lost-group,failing-build]
+  --seeds N     how many [default: 5]
+  --keep FILE   results as they come, from which a run goes on [default: lab-results.jsonl]
+  --workers N   plays at once [default: 4]
+"""
+
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import orjson
+from docopt import docopt
+from rich.console import Console
+from rich.table import Table
+
+from umbermoor.lab.day import Day, read_day, shipped_days
+from umbermoor.sheet import Misread
+
+DRAW = 2 << 20  # a number of seeds above which a wish is a mistake
+
+
+def main(words: list[str]) -> int:
+    given = docopt(__doc__, words)
+    try:
+        if given["days"]:
+            for name in shipped_days():
+                day = read_day(name)
+                print(f"{name:16} {day.length_s:4g} s, {day.load.rate:g} queries/s, {day.machines} machines, "
+                      f"{day.front.count} fronts, {len(day.build)} builds, {len(day.trouble)} troubles")
+            return 0
+        if given["day"]:
+            return _day(given)
+        if given["report"]:
+            return _report(given)
+        return _compare(given)
+    except Misread as fault:
+        print(f"umbermoor: {fault}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        print("umbermoor: ended before it was done", file=sys.stderr)
+        return 130
+
+
+def _number(text: str, name: str) -> int:
+    if not text.isdigit() or not 0 < int(text) < DRAW:
+        raise Misread(f"{name}:0: expected a whole number from 1 to {DRAW - 1}, not {text!r}")
+    return int(text)
+
+
+def _day(given: dict[str, Any]) -> int:
+    day = read_day(given["DAY"])
+    if given["--seed"] is not None:
+        day = day.changed(seed=_number(given["--seed"], "--seed"))
+    outcome = _played(day, given["--sockets"], given["--quiet"] or given["--json"] == "-")
+    data = orjson.dumps(outcome)
+    if given["--json"] == "-":
+        sys.stdout.buffer.write(data + b"\n")
+    elif given["--json"]:
+        Path(given["--json"]).write_bytes(data + b"\n")
+    if given["--html"]:
+        _write_page(outcome, given["--html"])
+    if given["--json"] != "-":
+        show(outcome)
+    return 1 if outcome["audit"]["breaches"] or not outcome.get("honest", True) else 0
+
+
+def _played(day: Day, sockets: bool, quiet: bool) -> dict[str, Any]:
+    if sockets:
+        from umbermoor.lab.sockets.runner import play_on_sockets
+        return play_on_sockets(day, None if quiet else lambda at: _progress(at, day))
+    from umbermoor.lab.fleet import play
+    return play(day, None if quiet else lambda at: _progress(at, day))
+
+
+def _progress(at: float, day: Day) -> None:
+    if sys.stderr.isatty():
+        end = "\n" if at >= day.length_s else "\r"
+        print(f"second {at:5.0f} of {day.length_s:g}", end=end, file=sys.stderr, flush=True)
+
+
+def show(outcome: dict[str, Any]) -> None:
+    console = Console()
+    rows = Table("profile", "asked", "in time", "service", "p50 ms", "p99 ms", "endings",
+                 title=f"{outcome['day']}, seed {outcome['seed']}, {outcome['body']}")
+    for name, one in outcome["profiles"].items():
+        rows.add_row(name, str(one["asked"]), f"{one['in_time']:.4f}", f"{one['service']:.4f}",
+                     str(one["ms"].get("p50", "")), str(one["ms"].get("p99", "")),
+                     ", ".join(f"{kind} {n}" for kind, n in one["endings"].items()))
+    console.print(rows)
+    audit = outcome["audit"]
+    console.print(f"service {outcome['service']:.4f}, {outcome['tries_a_query']:.3f} tries a query, "
+                  f"{audit['breaches']} breaches")
+    for rule, what, query, machine, at in audit["first"]:
+        console.print(f"  rule {rule}: {what}; query {query or '-'}, machine {machine or '-'}, at {at:.3f} s")
+    if not outcome.get("honest", True):
+        console.print("[bold red]This play does not count: the load could not keep its pace.[/]")
+
+
+def _write_page(outcome: dict[str, Any], path: str) -> None:
+    from umbermoor.lab.report import day_page
+    Path(path).write_text(day_page(outcome))
+
+
+def _report(given: dict[str, Any]) -> int:
+    try:
+        outcome = orjson.loads(Path(given["JSON"]).read_bytes())
+        _write_page(outcome, given["HTML"])
+    except OSError as error:
+        raise Misread(f"{given['JSON']}:0: {error.strerror}") from None
+    except (orjson.JSONDecodeError, KeyError, TypeError) as error:
+        raise Misread(f"{given['JSON']}:1: expected an outcome of 'lab day --json': {error!r}") from None
+    return 0
+
+
+def _compare(given: dict[str, Any]) -> int:
+    from umbermoor.lab import compare
+    days, seeds = given["--days"].split(","), list(range(1, _number(given["--seeds"], "--seeds") + 1))
+    for day in days:
+        read_day(day)
+    console = Console()
+    with tempfile.TemporaryDirectory() as folder:
+        variants = []
+        try:
+            for name in (given["FIRST"], given["SECOND"]):
+                here = compare.Variant(".", str(Path.cwd()), sys.executable)
+                variants.append(here if name == "." else compare.work_tree(name, Path(folder)))
+            plays = [compare.Play(one, day, seed) for one in variants for day in days for seed in seeds]
+            found = compare.run(plays, Path(given["--keep"]), _number(given["--workers"], "--workers"),
+                                lambda key, done, of: print(f"{done}/{of} {key}", file=sys.stderr))
+        except RuntimeError as error:
+            print(f"umbermoor: {error}", file=sys.stderr)
+            return 1
+        finally:
+            for one in variants:
+                if one.name != ".":
+                    compare.drop_tree(one)
+        rows = Table("figure", "day", given["FIRST"], given["SECOND"], "difference, 95 %")
+        for one in compare.differences(found, *variants, days, seeds):
+            rows.add_row(one.figure, one.day, f"{one.first:.4f}", f"{one.second:.4f}", str(one.change))
+        console.print(rows)
+    return 0
--- /dev/null
+++ b/umbermoor/planner/limits.py
@@ -0,0 +1,240 @@
+"""Every limit of a fleet as a row: what it holds, and the load at which it is reached; in closed form, without I/O.
+
+These rows bracket what is then played out in virtual time (``search``), and stand for the limits that a short play cannot
+reach. All loads are queries asked anew in a second, by the whole fleet, in the capture's mix.
+"""
+
+from math import inf, sqrt
+from typing import Callable, NamedTuple
+
+from umbermoor.lab.statistics import Interval
+from umbermoor.planner.fit import Demand
+from umbermoor.planner.queueing import erlang_c, highest_rate, late_share
+from umbermoor.planner.sheets import Fleet
+
+RESERVE = 32  # descriptors that a front keeps for other things
+CLIENTS_PART = 3  # clients hold at most one in so many of a front's descriptors
+TELLING = 10  # outcomes of a trial below which a stage is judged by the clock alone
+LIST_EVERY = 2.0  # seconds between a front's calls of the list
+
+
+class Limit(NamedTuple):
+    name: str
+    reached: Interval  # the load; inf: at no load; 0: at any
+    why: str
+    below: bool = False  # reached when the load is lower, not higher
+
+
+def limits(demand: Demand, fleet: Fleet) -> list[Limit]:
+    rows = [_work(demand, fleet), *_goals(demand, fleet), _queue(demand, fleet), _connections(demand, fleet),
+            _cpu(demand, fleet), _descriptors(demand, fleet), _memory(demand, fleet), _platform(demand, fleet),
+            _list(demand, fleet), _cold(demand, fleet), _retries(demand, fleet), _evidence(demand, fleet),
+            _guarded(demand, fleet)]
+    return sorted(rows, key=lambda row: (row.below, row.reached.mid, row.name))
+
+
+def mixed_work(demand: Demand) -> tuple[float, float]:
+    """Mean work in seconds of a query of the mix, and its coefficient of variation."""
+    total = demand.rate.mid or 1.0
+    mean = sum(one.rate.mid * one.work_ms.mid for one in demand.profiles) / total / 1000
+    square = sum(one.rate.mid * (one.work_ms.mid / 1000) ** 2 * (1 + one.work_cv ** 2) for one in demand.profiles) / total
+    return mean, sqrt(max(0.0, square / mean ** 2 - 1))
+
+
+def widened(value: float, error: float) -> Interval:
+    """By the relative error of the work."""
+    return Interval(value, value * max(0.0, 1 - error), value * (1 + error))
+
+
+def highest(fits: Callable[[float], bool], top: float) -> float:
+    """The highest load up to ``top`` that fits, by bisection; inf if the top does."""
+    if fits(top):
+        return inf
+    low, high = 0.0, top
+    for _ in range(60):
+        mid = (low + high) / 2
+        low, high = (mid, high) if fits(mid) else (low, mid)
+    return low
+
+
+def saturation(demand: Demand, fleet: Fleet) -> float:
+    return fleet.capacity / mixed_work(demand)[0]
+
+
+def goal_bracket(demand: Demand, fleet: Fleet) -> tuple[float, float]:
+    """Loads between which the goal breaks: as if each machine were asked alike by chance, and as if all workers stood
+    at one queue. 0 and 0 where the work alone forbids the goal."""
+    lows, highs = [], []
+    work, cv = mixed_work(demand)
+    for one in demand.profiles:
+        late = 1 - fleet.goal_of(one.name)
+        aim = one.aim_ms / 1000
+        mean, own = one.work_ms.mid / 1000, one.work_cv
+        slowest = min(group.speed for group in fleet.group)
+        if late_share(1e-9, mean / max(group.speed for group in fleet.group), 1, own, aim) > late:
+            return 0.0, 0.0
+        factor = work / mean  # loads of the mix for loads of this profile's work
+        workers = max(1, round(fleet.capacity))
+        pooled = highest_rate(mean, workers, max(own, cv), aim, late)
+        lone = sum(group.machines * highest_rate(mean / group.speed, group.workers, max(own, cv), aim, late)
+                   for group in fleet.group)
+        lows.append(lone / factor * min(1.0, slowest))
+        highs.append(pooled / factor)
+    return min(lows), min(highs)
+
+
+def _work(demand: Demand, fleet: Fleet) -> Limit:
+    work, _ = mixed_work(demand)
+    return Limit("machine work", widened(fleet.capacity / work, demand.work_error),
+                 f"{fleet.capacity:g} workers at speed 1, {work * 1000:.1f} ms of work a query")
+
+
+def _goals(demand: Demand, fleet: Fleet) -> list[Limit]:
+    rows = []
+    low, high = goal_bracket(demand, fleet)
+    for one in demand.profiles:
+        goal = fleet.goal_of(one.name)
+        alone = late_share(1e-9, one.work_ms.mid / 1000 / max(group.speed for group in fleet.group), 1, one.work_cv,
+                           one.aim_ms / 1000)
+        if alone > 1 - goal:
+            rows.append(Limit(f"target time of {one.name}", Interval(0.0, 0.0, 0.0),
+                              f"{alone:.2%} of it takes longer than {one.aim_ms:g} ms on an idle machine: no number of "
+                              f"machines holds {goal:.2%}"))
+    if not rows:
+        rows.append(Limit("target time", Interval((low + high) / 2, low * (1 - demand.work_error),
+                                                  high * (1 + demand.work_error)),
+                          "bracket in closed form; the play decides within it"))
+    return rows
+
+
+def _queue(demand: Demand, fleet: Fleet) -> Limit:
+    """More are turned away by full queues than the goal allows; a lone queue a machine."""
+    work, _ = mixed_work(demand)
+    most = 1 - max(fleet.goal_of(one.name) for one in demand.profiles)
+
+    def fits(load: float) -> bool:
+        for group in fleet.group:
+            offered = load * group.speed / fleet.capacity * work / group.speed * 1.0
+            if offered >= group.workers:
+                return False
+            if erlang_c(group.workers, offered) * (offered / group.workers) ** group.queue > most:
+                return False
+        return True
+
+    top = saturation(demand, fleet)
+    found = highest(fits, top * 1.01)
+    return Limit("machine queue", widened(min(found, top), demand.work_error),
+                 f"queues of {', '.join(str(group.queue) for group in fleet.group)} turn away over {most:.2%}")
+
+
+def _held(load: float, demand: Demand, fleet: Fleet) -> float:
+    """Queries that are in hand at once in the whole fleet, with waits by the pooled formula."""
+    work, cv = mixed_work(demand)
+    workers = max(1, round(fleet.capacity))
+    from umbermoor.planner.queueing import mean_wait
+    wait = mean_wait(load, work, workers, cv)
+    longest = max(one.patience_ms for one in demand.profiles) / 1000
+    return load * min(longest, work + wait)
+
+
+def _connections(demand: Demand, fleet: Fleet) -> Limit:
+    def fits(load: float) -> bool:
+        each = _held(load, demand, fleet) / fleet.machines / fleet.front.count  # a front's at one machine
+        lines = fleet.front.count * (each + 3 * sqrt(each) + 1)
+        return lines <= min(group.connections for group in fleet.group)
+
+    found = highest(fits, saturation(demand, fleet))
+    return Limit("machine connections", widened(found, demand.work_error),
+                 f"{fleet.front.count} fronts keep a line for each hand-off of their busiest moment; the least machine takes "
+                 f"{min(group.connections for group in fleet.group)}")
+
+
+def _cpu(demand: Demand, fleet: Fleet) -> Limit:
+    cost = fleet.front.cpu_us or fleet.limits.front_cpu_us
+    tries = 1 / max(0.2, 1 - demand.retry_share.mid)
+    return Limit("front CPU", widened(fleet.front.count * 1e6 / cost / tries, 0.05),
+                 f"{fleet.front.count} cores, {cost:g} us a query, {tries:.2f} tries a query")
+
+
+def _descriptors(demand: Demand, fleet: Fleet) -> Limit:
+    def fits(load: float) -> bool:
+        each = _held(load, demand, fleet) / fleet.front.count
+        peak = each + 3 * sqrt(each)
+        budget = fleet.front.descriptors - RESERVE
+        return peak <= budget / CLIENTS_PART and 2 * peak + min(fleet.machines, peak) <= budget
+
+    found = highest(fits, saturation(demand, fleet))
+    return Limit("front descriptors", widened(found, demand.work_error),
+                 f"{fleet.front.descriptors} of each front, a third for clients; one for each hand-off besides")
+
+
+def _memory(demand: Demand, fleet: Fleet) -> Limit:
+    room = fleet.front.memory_mb - fleet.limits.front_base_mb
+
+    def fits(load: float) -> bool:
+        each = _held(load, demand, fleet) / fleet.front.count
+        return (each + 3 * sqrt(each)) * fleet.limits.query_kb / 1024 <= room
+
+    return Limit("front memory", widened(highest(fits, saturation(demand, fleet)), demand.work_error),
+                 f"{room:g} MB beside the program, {fleet.limits.query_kb:g} KB an open query")
+
+
+def _platform(demand: Demand, fleet: Fleet) -> Limit:
+    votes = fleet.front.count * (1 / (0.7 * fleet.platform.vote_life_s) + 1 / fleet.platform.least_stage_s)
+    reached = 0.0 if votes > fleet.limits.platform_calls_s else inf
+    return Limit("platform calls", Interval(reached, reached, reached),
+                 f"{votes:.1f} votes a second at the most, {fleet.limits.platform_calls_s:g} taken; it grows with fronts, "
+                 f"not with load")
+
+
+def _list(demand: Demand, fleet: Fleet) -> Limit:
+    calls = fleet.front.count / LIST_EVERY
+    reached = 0.0 if calls > fleet.limits.list_calls_s else inf
+    return Limit("list calls", Interval(reached, reached, reached),
+                 f"{calls:.1f} a second, {fleet.limits.list_calls_s:g} taken; it grows with fronts, not with load")
+
+
+def _cold(demand: Demand, fleet: Fleet) -> Limit:
+    """The largest group comes back cold: the rest and what the cold may be sent must carry all."""
+    work, _ = mixed_work(demand)
+    largest = max(fleet.group, key=lambda one: one.machines * one.workers * one.speed)
+    lost = largest.machines * largest.workers * largest.speed
+    carried = fleet.capacity - lost * (1 - largest.cold_from)
+    return Limit("cold return", widened(carried / work, demand.work_error),
+                 f"while group {largest.name} is cold it has {largest.cold_from:.0%} of its capacity")
+
+
+def _retries(demand: Demand, fleet: Fleet) -> Limit:
+    """In closed form only a bracket: all tries of a lost query cost machine work, or none beyond the first."""
+    work, _ = mixed_work(demand)
+    top = fleet.capacity / work
+    cost = fleet.front.cpu_us or fleet.limits.front_cpu_us
+    fronts = fleet.front.count * 1e6 / cost / (1 + fleet.clients.retries)
+    low = min(top / (1 + fleet.clients.retries), fronts)
+    high = min(top, max(fronts, low))
+    return Limit("retry amplification", Interval(high, low, high),
+                 f"up to {1 + fleet.clients.retries} tries a query; above it a burst may not drain by itself. The lower "
+                 f"figure is the load from which it surely does; the play decides between them")
+
+
+def _evidence(demand: Demand, fleet: Fleet) -> Limit:
+    """Too little load to judge the first stage by its own outcomes."""
+    first = fleet.platform.stages[0]
+    safe = sum(one.rate.mid for one in demand.profiles if one.repeat == "repeatable" or not fleet.platform.guarded)
+    part = safe / (demand.rate.mid or 1.0) * min(1.0, first)
+    needed = TELLING * fleet.front.count / fleet.platform.least_stage_s / max(part, 1e-9)
+    return Limit("evidence in the first stage", widened(needed, 0.3),
+                 f"below it a front sees fewer than {TELLING} outcomes of the trial in {fleet.platform.least_stage_s:g} s",
+                 below=True)
+
+
+def _guarded(demand: Demand, fleet: Fleet) -> Limit:
+    """The cap on the trial, by its machines' share: hand-offs that it may have for those that its machines could take."""
+    first = fleet.platform.stages[0]
+    machines = max(1, round(first * fleet.machines)) / (fleet.machines + max(1, round(first * fleet.machines)))
+    cap = min(1.0, first * fleet.platform.slack)
+    needed = fleet.platform.free * fleet.front.count / fleet.platform.window_s / max(1e-9, machines - cap)
+    reached = needed if machines > cap else 0.0
+    return Limit("trial cap", Interval(reached, reached, reached),
+                 f"the trial's machines are {machines:.1%} of the listed, its cap is {cap:.1%}; below it the free hand-offs "
+                 f"fill the rest", below=True)
--- /dev/null
+++ b/umbermoor/planner/players.py
@@ -0,0 +1,74 @@
+"""Plays questions on all cores, and keeps the answers so that a plan that was ended goes on."""
+
+import os
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from hashlib import blake2b
+from pathlib import Path
+from typing import Callable
+
+import msgspec
+import orjson
+
+from umbermoor.lab.fleet import play
+from umbermoor.planner.fit import Demand
+from umbermoor.planner.questions import Answer, Question, day_for, read_answer, replayed
+from umbermoor.planner.search import Answers
+from umbermoor.planner.sheets import Fleet
+
+_told: tuple[Demand, Fleet, list[tuple[int, int]]] | None = None
+
+
+def _tell(demand: Demand, fleet: Fleet, arrivals: list[tuple[int, int]]) -> None:
+    global _told
+    _told = demand, fleet, arrivals
+
+
+def _play(question: Question) -> Answer:
+    demand, fleet, arrivals = _told
+    day = day_for(question, demand, fleet)
+    return read_answer(play(day, replay=replayed(day, demand, arrivals)))
+
+
+class Players:
+    """A pool for one plan. ``kept`` is a file of answers, or None."""
+
+    def __init__(self, demand: Demand, fleet: Fleet, arrivals: list[tuple[int, int]], kept: Path | None = None,
+                 told: Callable[[int, int], None] = lambda done, asked: None, workers: int | None = None) -> None:
+        self._told, self._kept = told, kept
+        self._sign = blake2b(orjson.dumps([list(map(str, demand)), msgspec.json.encode(fleet).decode(), len(arrivals),
+                                           arrivals[:1] + arrivals[-1:]]), digest_size=8).hexdigest()
+        self._known = self._read()
+        self._done = self._asked = 0
+        self._pool = ProcessPoolExecutor(workers or os.cpu_count() or 1, initializer=_tell,
+                                         initargs=(demand, fleet, arrivals))
+
+    def _read(self) -> dict[Question, Answer]:
+        """What an earlier run of the same plan left; a torn line is passed over."""
+        known = {}
+        if self._kept is not None and self._kept.exists():
+            for line in self._kept.read_bytes().splitlines():
+                try:
+                    sign, question, answer = msgspec.json.decode(line, type=tuple[str, Question, Answer])
+                except msgspec.MsgspecError:
+                    continue
+                if sign == self._sign:
+                    known[question] = answer
+        return known
+
+    def ask(self, questions: list[Question]) -> Answers:
+        found = {one: self._known[one] for one in questions if one in self._known}
+        todo = [one for one in questions if one not in found]
+        self._asked += len(todo)
+        futures = {self._pool.submit(_play, one): one for one in todo}
+        for future in as_completed(futures):
+            question, answer = futures[future], future.result()
+            found[question] = self._known[question] = answer
+            if self._kept is not None:
+                with open(self._kept, "ab") as file:
+                    file.write(msgspec.json.encode((self._sign, question, answer)) + b"\n")
+            self._done += 1
+            self._told(self._done, self._asked)
+        return found
+
+    def close(self) -> None:
+        self._pool.shutdown(wait=True, cancel_futures=True)
--- /dev/null
+++ b/umbermoor/planner/queueing.py
@@ -0,0 +1,88 @@
+"""Waiting in a station of several workers, in closed form; the bounds that bracket what is played out.
+
+Sources: Erlang (1917) for the probability of waiting; Allen (1978) and Cunneen for general work and arrivals.
+Times are in any one unit; load is arrivals in that unit.
+"""
+
+from math import exp, log, sqrt
+
+
+def erlang_c(workers: int, offered: float) -> float:
+    """The probability that an arrival waits, at an offered load in workers (Poisson arrivals, exponential work)."""
+    if offered >= workers:
+        return 1.0
+    if offered <= 0:
+        return 0.0
+    blocked = 1.0
+    for count in range(1, workers + 1):  # the recursion for Erlang's B; stable at any size
+        blocked = offered * blocked / (count + offered * blocked)
+    return blocked / (1 - offered / workers * (1 - blocked))
+
+
+def mean_wait(rate: float, work: float, workers: int, work_cv: float, arrival_cv2: float = 1.0) -> float:
+    """Allen and Cunneen's approximation; infinite from full load on."""
+    offered = rate * work
+    if offered >= workers:
+        return float("inf")
+    return erlang_c(workers, offered) * work / (workers - offered) * (arrival_cv2 + work_cv * work_cv) / 2
+
+
+def late_share(rate: float, work: float, workers: int, work_cv: float, aim: float, arrival_cv2: float = 1.0) -> float:
+    """The share that takes longer than the aim: lognormal work by its quantiles, plus a wait that is exponential with
+    the probability and mean above."""
+    offered = rate * work
+    if offered >= workers:
+        return 1.0
+    waits = erlang_c(workers, offered)
+    mean = mean_wait(rate, work, workers, work_cv, arrival_cv2)
+    span = mean / waits if waits > 0 else 0.0  # of those that wait
+    late = 0.0
+    steps = 64
+    for step in range(steps):
+        own = lognormal_quantile((step + 0.5) / steps, work, work_cv)
+        left = aim - own
+        if left <= 0:
+            late += 1
+        elif span > 0:
+            late += waits * exp(-left / span)
+    tail = lognormal_above(aim, work, work_cv)
+    return min(1.0, max(late / steps, tail))
+
+
+def lognormal_quantile(part: float, mean: float, cv: float) -> float:
+    if cv <= 0:
+        return mean
+    s2 = log(1 + cv * cv)
+    return exp(log(mean) - s2 / 2 + sqrt(s2) * normal_quantile(part))
+
+
+def lognormal_above(limit: float, mean: float, cv: float) -> float:
+    """The share of lognormal amounts over a limit."""
+    from math import erfc
+    if cv <= 0:
+        return float(mean > limit)
+    s2 = log(1 + cv * cv)
+    return 0.5 * erfc((log(limit) - log(mean) + s2 / 2) / sqrt(2 * s2))
+
+
+def normal_quantile(part: float) -> float:
+    """By bisection on erf; exact to 1e-9."""
+    from math import erf
+    low, high = -9.0, 9.0
+    for _ in range(60):
+        mid = (low + high) / 2
+        low, high = (mid, high) if 0.5 * (1 + erf(mid / sqrt(2))) < part else (low, mid)
+    return (low + high) / 2
+
+
+def highest_rate(work: float, workers: int, work_cv: float, aim: float, late_most: float,
+                 arrival_cv2: float = 1.0) -> float:
+    """The load up to which no more than that share is late; 0 where the work alone forbids it."""
+    if late_share(1e-9, work, workers, work_cv, aim, arrival_cv2) > late_most:
+        return 0.0
+    low, high = 0.0, workers / work
+    for _ in range(50):
+        mid = (low + high) / 2
+        fits = late_share(mid, work, workers, work_cv, aim, arrival_cv2) <= late_most
+        low, high = (mid, high) if fits else (low, mid)
+    return low
--- /dev/null
+++ b/umbermoor/sheet.py
@@ -0,0 +1,162 @@
+"""Sheets: our own documents in KDL, read into typed records. What is wrong is named by file and line.
+
+A record is a msgspec Struct. A node's arguments fill the fields that its ``PLACES`` name, in turn; its properties and its
+children fill the fields of their names, with ``-`` for ``_``. A child that may stand several times has a field that is a
+list or tuple of records. Source of the syntax: the KDL specification, version 1, by kdl-py.
+"""
+
+import re
+import types
+import typing
+from pathlib import Path
+from typing import Any, ClassVar, NamedTuple, TypeVar, Union
+
+import kdl
+import msgspec
+
+MOST = 4 * 1024 * 1024  # bytes of a sheet; what is longer is no sheet of ours
+
+
+class Misread(Exception):
+    """A sheet cannot be used. The text is one line: file, line, and what was expected there."""
+
+
+class Node(NamedTuple):
+    name: str
+    values: list[Any]
+    named: dict[str, Any]
+    inner: "list[Node]"
+    line: int
+
+
+class Record(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    PLACES: ClassVar[tuple[str, ...]] = ()
+
+    def fault(self) -> str | None:
+        """What is wrong with it though each field by itself is right."""
+        return None
+
+
+Some = TypeVar("Some", bound=Record)
+
+
+def read_sheet(path: str | Path, word: str, kind: type[Some]) -> Some:
+    """The one top node of that name, as a record. Raises Misread."""
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        raise Misread(f"{path}:0: expected a file that can be read: {error.strerror}") from None
+    return parse_sheet(data, str(path), word, kind)
+
+
+def parse_sheet(data: bytes, name: str, word: str, kind: type[Some]) -> Some:
+    nodes = _nodes(data, name)
+    if len(nodes) != 1 or nodes[0].name != word:
+        line = nodes[1].line if len(nodes) > 1 and nodes[0].name == word else nodes[0].line if nodes else 1
+        raise Misread(f"{name}:{line}: expected one node '{word}' at the top")
+    return _record(nodes[0], kind, name)
+
+
+def _nodes(data: bytes, name: str) -> list[Node]:
+    if len(data) > MOST:
+        raise Misread(f"{name}:1: expected at most {MOST} bytes, not {len(data)}")
+    try:
+        text = data.decode()
+    except UnicodeDecodeError as error:
+        line = data[:error.start].count(b"\n") + 1
+        raise Misread(f"{name}:{line}: expected UTF-8") from None
+    places: dict[int, int] = {}
+
+    def place(node: kdl.Node, fragment: kdl.ParseFragment) -> kdl.Node:
+        places[id(node)] = int(str(fragment.error("")).partition(":")[0])
+        return node
+
+    try:
+        found = kdl.parse(text, kdl.ParseConfig(nodeConverters={re.compile(""): place}))
+    except kdl.ParseError as error:
+        line, _, rest = str(error).partition(":")
+        raise Misread(f"{name}:{line}: expected KDL: {rest.partition('parse error: ')[2].splitlines()[0]}") from None
+    except RecursionError:
+        raise Misread(f"{name}:1: expected nodes nested less deep") from None
+    return [_node(one, places) for one in found.nodes]
+
+
+def _node(one: kdl.Node, places: dict[int, int]) -> Node:
+    return Node(one.name, [_value(value) for value in one.args],
+                {key: _value(value) for key, value in one.props.items()},
+                [_node(inner, places) for inner in one.nodes], places.get(id(one), 0))
+
+
+def _value(value: Any) -> Any:
+    """KDL knows numbers only; a whole one is an int to us."""
+    return int(value) if isinstance(value, float) and value.is_integer() else value
+
+
+def _record(node: Node, kind: type[Some], name: str) -> Some:
+    hints = typing.get_type_hints(kind)
+    fields = {field.name: hints[field.name] for field in msgspec.structs.fields(kind)}
+
+    def fail(line: int, text: str) -> Misread:
+        return Misread(f"{name}:{line}: {text}")
+
+    def field(word: str, line: int) -> str:
+        key = word.replace("-", "_")
+        if key not in fields or "_" in word:
+            known = ", ".join(one.replace("_", "-") for one in fields)
+            raise fail(line, f"expected one of {known} in '{node.name}', not {word!r}")
+        return key
+
+    given: dict[str, Any] = {}
+    if len(node.values) > len(kind.PLACES):
+        raise fail(node.line, f"expected {len(kind.PLACES) or 'no'} values after '{node.name}', not {len(node.values)}")
+    given.update(zip(kind.PLACES, node.values))
+    for word, value in node.named.items():
+        key = field(word, node.line)
+        if key in given:
+            raise fail(node.line, f"expected {word!r} once in '{node.name}'")
+        given[key] = value
+    for child in node.inner:
+        key = field(child.name, child.line)
+        inner, several = _inner(fields[key])
+        if several and inner is not None:
+            given.setdefault(key, []).append(_record(child, inner, name))
+            continue
+        if key in given:
+            raise fail(child.line, f"expected {child.name!r} once in '{node.name}'")
+        if inner is not None:
+            given[key] = _record(child, inner, name)
+        elif child.named or child.inner or not several and len(child.values) != 1:
+            raise fail(child.line, f"expected '{child.name}' and {'values' if several else 'one value'}")
+        else:
+            given[key] = child.values if several else child.values[0]
+    try:
+        record = msgspec.convert(given, kind)
+    except msgspec.ValidationError as error:
+        raise fail(*_where(str(error), node)) from None
+    if fault := record.fault():
+        raise fail(node.line, fault)
+    return record
+
+
+def _where(text: str, node: Node) -> tuple[int, str]:
+    """Line and words for what msgspec found."""
+    what, _, path = text.partition(" - at `$")
+    words = re.findall(r"\.(\w+)", path)
+    what = what[:1].lower() + what[1:]
+    if not words:
+        return node.line, f"{what.replace('_', '-')} in '{node.name}'"
+    word = words[0].replace("_", "-")
+    line = next((child.line for child in node.inner if child.name == word), node.line)
+    return line, f"{what} for '{word}' in '{node.name}'"
+
+
+def _inner(hint: Any) -> tuple[type[Record] | None, bool]:
+    """The record in a field's type, if it holds any, and whether it may hold several values."""
+    origin = typing.get_origin(hint)
+    if origin in (Union, types.UnionType):
+        return next((found for one in typing.get_args(hint) if (found := _inner(one)) != (None, False)), (None, False))
+    if origin in (list, tuple):
+        return _inner(typing.get_args(hint)[0])[0], True
+    if origin is typing.Annotated:
+        return _inner(typing.get_args(hint)[0])
+    return (hint, False) if isinstance(hint, type) and issubclass(hint, Record) else (None, False)
