--- /dev/null
+++ b/tests/sockets_test.py
@@ -0,0 +1,30 @@
+"""Body two: a real front on loopback, killed and started again, with a capture; and that the ledger of it holds."""
+
+from umbermoor.capture.files import read_capture
+from umbermoor.lab.day import Day
+from umbermoor.lab.sockets.runner import play_on_sockets
+from umbermoor.sheet import parse_sheet
+
+DAY = b"""day "loopback" length-s=7 seed=4 settle-s=1 {
+  load 30
+  front 2
+  profile "look" share=2 work-ms=40 cv=0.5
+  profile "book" share=1 repeat="once" work-ms=40 cv=0.5
+  group "a" machines=2 workers=2
+  group "b" machines=2 workers=2
+  build 2 at-s=1 fault-kind="fails" size=0.4
+  trouble "crash" at-s=2 for-s=2 group="b" part=0.5
+  trouble "resets" at-s=3 for-s=2 group="a" part=0.5 size=0.3
+  trouble "front-crash" at-s=4 for-s=0.5 part=0.5
+}"""
+
+
+def test_a_day_on_loopback_keeps_the_rules_though_a_front_is_killed(tmp_path):
+    sheet = tmp_path / "front.kdl"
+    sheet.write_text(f'front {{\n  logs form="json"\n  capture "{tmp_path}/kept" most-mb=1\n}}')
+    outcome = play_on_sockets(parse_sheet(DAY, "d", "day", Day), sheet=str(sheet))
+    assert outcome["audit"]["breaches"] == 0, outcome["audit"]["first"]
+    assert outcome["in_time"] > 0.6 and outcome["audit"]["counts"]["done"] > 60
+    assert outcome["stages"][0][1] == 1 and len(outcome["machines"]) >= 4
+    capture = read_capture(str(tmp_path / "kept"))
+    assert len(capture.rows) > 10 and {row.ending for row in capture.rows} & {"done"}
--- a/umbermoor/__main__.py
+++ b/umbermoor/__main__.py
@@ -1,8 +1,8 @@
 """umbermoor: a front that routes queries and votes on staged releases.
 
 Usage:
-  umbermoor serve [--config FILE] [--log LEVEL]
-  umbermoor check [--config FILE]
+  umbermoor serve [--config FILE] [--sheet FILE] [--log LEVEL]
+  umbermoor check [--config FILE] [--sheet FILE]
   umbermoor version
   umbermoor lab [<words>...]
   umbermoor capture [<words>...]
@@ -19,6 +19,7 @@
 
 Options:
   --config FILE  the configuration, in place of the one that LB_CONFIG names
+  --sheet FILE   our own settings beside it, in KDL: captures, the form of the log; see docs/settings.md
   --log LEVEL    DEBUG, INFO, WARNING or ERROR [default: INFO]
 """
 
@@ -61,6 +62,7 @@
         station = read()
         if given["--log"] not in ("DEBUG", "INFO", "WARNING", "ERROR"):
             raise Misplaced(f"--log: no such level: {given['--log']}")
+        house = _house(given["--sheet"])
     except Misplaced as fault:
         print(f"umbermoor: {fault}", file=sys.stderr)
         return 2
@@ -69,8 +71,22 @@
               f"{len(station.profiles)} profiles, {station.charter.fronts} fronts, {station.sockets} sockets")
         return 0
     from umbermoor.node.service import serve  # only here: the others need no reactor
-    start_log(given["--log"])
-    return serve(station, read)
+    start_log(given["--log"], house.logs.form if house else "pairs")
+    return serve(station, read, house)
+
+
+def _house(path: str | None):
+    """Our own settings, if there are any. Threat: their libraries in the memory of a front that has none."""
+    if path is None:
+        return None
+    try:
+        from umbermoor.house import Misread, read_house
+    except ModuleNotFoundError as error:
+        raise Misplaced(f"--sheet: {error.name} is not installed: pip install -e '.[sheets]'") from None
+    try:
+        return read_house(path)
+    except Misread as fault:
+        raise Misplaced(str(fault)) from None
 
 
 if __name__ == "__main__":
--- a/umbermoor/lab/fleet.py
+++ b/umbermoor/lab/fleet.py
@@ -8,6 +8,8 @@
 from collections import Counter
 from typing import Any, Callable, Iterator, NamedTuple
 
+from umbermoor.capture.frames import Header, file_head
+from umbermoor.capture.recorder import Recorder
 from umbermoor.charter import read_charter
 from umbermoor.facade import (Abandoned, Asked, Complaint, Connected, Denied, Desk, Ended, Go, Held, Left, Listed, Stop,
                               Tally, Vote)
@@ -68,6 +70,7 @@
         self.peak = 0
         self.busy = 0
         self._armed = 0
+        self.recorder = world.recorder(self) if world.recorder is not None else None
 
     # From clients.
 
@@ -100,6 +103,8 @@
             self.world.answer(self, asked.query, Kind.DENIED, SECOND, False)
             return
         self.held.add(asked.query)
+        if self.recorder is not None:
+            self.recorder.asked(asked.query, asked.profile, asked.due, asked.cost, asked.repeated)
         self.clients = max(self.clients, len(self.held))
         self._follow([self.desk.pick(asked)])
 
@@ -114,6 +119,8 @@
     def left(self, query: str) -> None:
         if self.alive and query in self.held:
             self.held.discard(query)
+            if self.recorder is not None:
+                self.recorder.closed(query, "left")
             self._follow(self.desk.report(Left(query)))
 
     # News.
@@ -123,6 +130,8 @@
             if self.world.now < self.stalled_until:
                 self.world.at(self.stalled_until, self.hear, heard)
             else:
+                if self.recorder is not None and isinstance(heard, Listed):
+                    self.recorder.listed(heard.kind is not Listing.CHANGES, list(heard.entries))
                 self._follow(self.desk.report(heard))
 
     # Steps.
@@ -161,6 +170,8 @@
     def _answer(self, query: str, kind: Kind, wait: int, wrong: bool = False) -> None:
         if query in self.held:
             self.held.discard(query)
+            if self.recorder is not None:
+                self.recorder.closed(query, kind.value)
             self.world.answer(self, query, kind, wait, wrong)
 
     def _go(self, go: Go) -> None:
@@ -169,6 +180,8 @@
             self.world.at(now, self.hear, Ended(go.query, go.number, go.machine, Ending.MOOT, 0))
             return
         self.out[key] = out = _Out(go, now, [False])
+        if self.recorder is not None:
+            self.recorder.handed(go.query, go.machine)
         self.world.at(now + max(0, go.limit), self._late, key, out)
         idle = self.lines.get(go.machine)
         while idle:
@@ -238,6 +251,8 @@
 
     def _served(self, key: tuple[str, int], out: _Out, reply: Reply) -> None:
         if self.out.get(key) is out:
+            if self.recorder is not None:  # told first: the row is made with the answer
+                self.recorder.ended(key[0], out.go.machine, Ending.OK, self.world.now - out.begun)
             self._answer(key[0], Kind.DONE, 0, reply is Reply.WRONG)
             self._over(key, out, Ending.OK, False)
 
@@ -249,6 +264,8 @@
             self.close_line(out.go.machine)
             self.world.call_off(out.go)
         self.world.ledger.outcome(key[0], ending)
+        if self.recorder is not None and ending is not Ending.OK:
+            self.recorder.ended(key[0], out.go.machine, ending, self.world.now - out.begun)
         self.hear(Ended(*key, out.go.machine, ending, self.world.now - out.begun))
 
     def _late(self, key: tuple[str, int], out: _Out) -> None:
@@ -264,15 +281,16 @@
 class World:
     """The day as it is played. ``play`` goes to its end; ``Outcome`` says what came of it."""
 
-    def __init__(self, day: Day, replay: Iterator[Wish] | None = None,
-                 watch: Callable[[float], None] | None = None) -> None:
+    def __init__(self, day: Day, replay: Iterator[Wish] | None = None, watch: Callable[[float], None] | None = None,
+                 recorder: "Callable[[VirtualFront], Recorder | None] | None" = None) -> None:
+        self.recorder = recorder  # makes what notes a front's queries, for captures
         self.day, self.settings = day, settings_of(day)
         self.chance = Chance(day.seed)
         self.now = BEGIN
         self._heap: list[tuple[int, int, Callable, tuple]] = []
         self._made = 0
         self.events = 0
-        self.site = Site(day, self)
+        self.site = Site(day, self, BEGIN)
         self._owner: dict[tuple[str, int], VirtualFront] = {}
         self.ledger, self.measure = Ledger(day), Measure(day)
         self._wishes = replay if replay is not None else wishes(day, self.chance)
@@ -581,5 +599,24 @@
     return Entry(row.machine, row.build, 0, 0, row.readiness, 1.0, row.born)
 
 
+def capture_day(day: Day, path: str) -> dict[str, Any]:
+    """Plays a day and writes the capture of its first front, as the front on sockets writes it."""
+    profiles = tuple({"name": row.name, "aim_ms": row.aim_ms, "patience_ms": row.patience_ms,
+                      "late_value": row.late_value, "repeat": row.repeat} for row in day.profile)
+    with open(path, "wb") as file:
+        made: list[Recorder] = []
+
+        def recorder(front: VirtualFront) -> Recorder | None:
+            if front.name != "n0" or made:
+                return None
+            made.append(Recorder(lambda: front.world.now, Header("n0", BEGIN, profiles), file.write))
+            file.write(file_head() + made[0].begin())
+            return made[0]
+
+        outcome = World(day, recorder=recorder).play().outcome()
+        made[0].flush()
+    return outcome
+
+
 def play(day: Day, watch: Callable[[float], None] | None = None, replay: Iterator[Wish] | None = None) -> dict[str, Any]:
     return World(day, replay, watch).play().outcome()
--- a/umbermoor/lab/site.py
+++ b/umbermoor/lab/site.py
@@ -29,15 +29,15 @@
 
 
 class Site:
-    def __init__(self, day: Day, host: Host) -> None:
+    def __init__(self, day: Day, host: Host, begun: int) -> None:
         self._day, self._host = day, host
         self.chance = Chance(day.seed)
-        self.begun = host.now
+        self.begun = begun
         self.places = Places(day, self.chance)
         self.machines: dict[str, Machine] = {}
         self.place: dict[str, int] = {}
         self.roster = Roster()
-        self.release = Release(day.platform, day.build, len(self.places), self.places.order, host.now)
+        self.release = Release(day.platform, day.build, len(self.places), self.places.order, begun)
         self.mute = {"list-silent": 0, "platform-silent": 0}  # until when
         self._wakes: dict[str, int] = {}
         self._serial = 0
--- a/umbermoor/logs.py
+++ b/umbermoor/logs.py
@@ -45,9 +45,24 @@
         {'"': '\\"', "\\": "\\\\", "\n": "\\n"}.get(sign, sign) for sign in text) + '"'
 
 
-def start_log(level: str = "INFO") -> None:
+def _lines_of_json() -> logging.Formatter:
+    """The same pairs, a JSON object a line, by structlog; only where it is asked for."""
+    import structlog
+
+    def pairs(_logger: Any, _name: str, event: dict[str, Any]) -> dict[str, Any]:
+        record = event["_record"]
+        given = {"at": round(record.created, 3), "level": record.levelname.lower(),
+                 "in": record.name.removeprefix("umbermoor."), "what": record.getMessage()}
+        return given | {key: value if isinstance(value, int | float | bool) else str(value)
+                        for key, value in getattr(record, "with_", {}).items()} | (
+            {"trace": logging.Formatter().formatException(record.exc_info)} if record.exc_info else {})
+
+    return structlog.stdlib.ProcessorFormatter(processors=[pairs, structlog.processors.JSONRenderer()])
+
+
+def start_log(level: str = "INFO", form: str = "pairs") -> None:
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(KeyValues())
+    handler.setFormatter(_lines_of_json() if form == "json" else KeyValues())
     handler.addFilter(Sparing())
     logging.basicConfig(level=level, handlers=[handler], force=True)
 
--- /dev/null
+++ b/umbermoor/node/capturing.py
@@ -0,0 +1,50 @@
+"""The front's capture: notes for the recorder, and its file, flushed in time though nothing comes."""
+
+from umbermoor.capture.files import Segments
+from umbermoor.capture.frames import Header
+from umbermoor.capture.recorder import FRAME_EVERY, Recorder
+from umbermoor.facade import Asked
+from umbermoor.house import CaptureTo
+from umbermoor.interface import Ending, Entry
+from umbermoor.station import Station
+
+SECOND = 1_000_000
+_CLOSED = {0: "left", 200: "done", 429: "denied", 503: "denied", 502: "abandoned"}
+
+
+class Capturing:
+    def __init__(self, reactor, clock, station: Station, to: CaptureTo) -> None:
+        names = sorted(station.profiles, key=station.profiles.__getitem__)
+        profiles = tuple({"name": name, "aim_ms": row.target / 1000, "patience_ms": row.patience / 1000,
+                          "late_value": row.late_value, "repeat": "once" if row.repeat.value == "binding" else "repeatable"}
+                         for name, row in zip(names, station.charter.profiles))
+        self._reactor = reactor
+        header = Header(station.name, clock(), profiles)
+        self._files = Segments(to.path, round(to.most_mb * 2 ** 20), lambda: self._recorder.begin())
+        self._recorder = Recorder(clock, header, self._files.write)
+        self._timer = reactor.callLater(FRAME_EVERY / SECOND, self._flush)
+
+    def listed(self, whole: bool, entries: list[Entry]) -> None:
+        self._recorder.listed(whole, entries)
+
+    def asked(self, asked: Asked) -> None:
+        self._recorder.asked(asked.query, asked.profile, asked.due, asked.cost, asked.repeated)
+
+    def handed(self, query: str, machine: str) -> None:
+        self._recorder.handed(query, machine)
+
+    def ended(self, query: str, machine: str, ending: Ending, took: int) -> None:
+        self._recorder.ended(query, machine, ending, took)
+
+    def closed(self, query: str, status: int) -> None:
+        self._recorder.closed(query, _CLOSED.get(status, "failed"))
+
+    def _flush(self) -> None:
+        self._recorder.flush()
+        self._timer = self._reactor.callLater(FRAME_EVERY / SECOND, self._flush)
+
+    def stop(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+        self._recorder.flush()
+        self._files.close()
--- a/umbermoor/node/exchange.py
+++ b/umbermoor/node/exchange.py
@@ -2,14 +2,14 @@
 
 import logging
 from collections import deque
-from typing import Callable, NamedTuple
+from typing import Callable, NamedTuple, Protocol
 
 from twisted.internet.defer import Deferred
 
-from umbermoor.facade import (Abandoned, Complaint, Connected, Denied, Desk, Ended, Go, Heard, Held, Left, Listed, Note,
+from umbermoor.facade import (Abandoned, Asked, Complaint, Connected, Denied, Desk, Ended, Go, Heard, Held, Left, Listed, Note,
                               Probe, Probed, Step, Stop, Tell, Vote, Watch)
 from umbermoor.http1.reader import Response
-from umbermoor.interface import Ending, Listing, News, Readiness
+from umbermoor.interface import Ending, Entry, Listing, News, Readiness
 from umbermoor.logs import note, note_failure
 from umbermoor.node import discovery as lists
 from umbermoor.node.clients import Answer, Query
@@ -30,12 +30,21 @@
     answer: "Deferred[Answer]"
 
 
+class Witness(Protocol):
+    def listed(self, whole: bool, entries: list[Entry]) -> None: ...
+    def asked(self, asked: Asked) -> None: ...
+    def handed(self, query: str, machine: str) -> None: ...
+    def ended(self, query: str, machine: str, ending: Ending, took: int) -> None: ...
+    def closed(self, query: str, status: int) -> None: ...
+
+
 class Exchange:
     def __init__(self, reactor, clock: Callable[[], int], desk: Desk, machines: Machines,
                  load_fields: tuple[str, ...]) -> None:
         self._reactor, self._clock, self._desk, self._machines = reactor, clock, desk, machines
         self._load_fields = load_fields
         self.platform: Platform | None = None
+        self.witness: Witness | None = None  # who notes what is asked and how it ends, if anybody does
         self.watch: Callable[[], None] = lambda: None
         self.held: dict[str, _Held] = {}
         self._out: dict[tuple[str, int], Deferred] = {}  # hand-offs, by query and number
@@ -60,6 +69,8 @@
             answer.callback(Answer(409))
             return answer
         self.held[id] = _Held(query, answer)
+        if self.witness is not None:
+            self.witness.asked(query.asked)
         try:
             fate = self._desk.pick(query.asked)
         except Exception:
@@ -71,6 +82,8 @@
 
     def _left(self, id: str) -> None:
         if self.held.pop(id, None):
+            if self.witness is not None:
+                self.witness.closed(id, 0)
             self.report(Left(id))
 
     def _give_up(self, id: str) -> None:
@@ -86,6 +99,8 @@
 
     def listed(self, kind: Listing, news: lists.News) -> None:
         whole = kind is not Listing.CHANGES
+        if self.witness is not None:
+            self.witness.listed(whole, news.entries)
         self._machines.listed(whole, {
             entry.machine: (news.addresses[entry.machine], entry.readiness is Readiness.READY)
             if entry.readiness and entry.machine in news.addresses else None for entry in news.entries})
@@ -160,11 +175,15 @@
             step.machine, request.method, request.target, headers, request.body, step.limit,
             lambda: bool(self._desk.report(Connected(step))))
         self._out[key] = outcome
+        if self.witness is not None:
+            self.witness.handed(step.query, step.machine)
         outcome.addCallback(self._ended, step, sent).addErrback(self._faulted, step.query)
 
     def _ended(self, outcome: Outcome, step: Go, sent: int) -> None:
         self._out.pop((step.query, step.number), None)
         how = ending(outcome)
+        if self.witness is not None:
+            self.witness.ended(step.query, step.machine, how, self._clock() - sent)
         if how is Ending.OK and isinstance(outcome, Response):
             self._answer(step.query, Answer(200, outcome.body))
         elif how in (Ending.CONNECT_FAILED, Ending.RESET):
@@ -194,6 +213,8 @@
 
     def _answer(self, id: str, answer: Answer) -> None:
         if held := self.held.pop(id, None):
+            if self.witness is not None:
+                self.witness.closed(id, answer.status)
             held.answer.callback(answer)
 
     def _vote(self, step: Vote) -> None:
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -45,7 +45,7 @@
 
 
 class Service:
-    def __init__(self, reactor, station: Station, clock: Clock) -> None:
+    def __init__(self, reactor, station: Station, clock: Clock, house=None) -> None:
         self._reactor, self._station = reactor, station
         buffers, budget = self._buffers, self._budget = Buffers(station.memory), Budget(station.sockets)
         charter = station.charter
@@ -60,6 +60,10 @@
                                                       station.profiles, self._told)
         self._discovery = Discovery(reactor, buffers, station.discovery, station.zones, self._listed)
         exchange.watch = self._discovery.start
+        self._capture = None
+        if house is not None and house.capture is not None:
+            from umbermoor.node.capturing import Capturing  # only here: it is no part of a front that has none
+            self._capture = exchange.witness = Capturing(reactor, clock, station, house.capture)
         self._heard: set[str] = set()
         self._port = None
         self._drop_at = 0.0
@@ -169,12 +173,14 @@
         self._platform.stop()
         self._exchange.stop()
         self._machines.close()
+        if self._capture is not None:
+            self._capture.stop()
         self._reactor.callLater(0, self._reactor.stop)
 
 
-def serve(station: Station, read: Callable[[], Station]) -> int:
+def serve(station: Station, read: Callable[[], Station], house=None) -> int:
     globalLogBeginner.beginLoggingTo([STDLibLogObserver()], redirectStandardIO=False)
-    service = Service(reactor, station, Clock())
+    service = Service(reactor, station, Clock(), house)
     reactor.callWhenRunning(service.start)
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(service.drain))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(service.reload, read))
--- a/umbermoor/planner/limits.py
+++ b/umbermoor/planner/limits.py
@@ -23,6 +23,7 @@
     reached: Interval  # the load; inf: at no load; 0: at any
     why: str
     below: bool = False  # reached when the load is lower, not higher
+    case: str = ""  # reached only then
 
 
 def limits(demand: Demand, fleet: Fleet) -> list[Limit]:
@@ -201,7 +202,8 @@
     lost = largest.machines * largest.workers * largest.speed
     carried = fleet.capacity - lost * (1 - largest.cold_from)
     return Limit("cold return", widened(carried / work, demand.work_error),
-                 f"while group {largest.name} is cold it has {largest.cold_from:.0%} of its capacity")
+                 f"while group {largest.name} is cold it has {largest.cold_from:.0%} of its capacity",
+                 case=f"group {largest.name} returns cold")
 
 
 def _retries(demand: Demand, fleet: Fleet) -> Limit:
@@ -214,7 +216,7 @@
     high = min(top, max(fronts, low))
     return Limit("retry amplification", Interval(high, low, high),
                  f"up to {1 + fleet.clients.retries} tries a query; above it a burst may not drain by itself. The lower "
-                 f"figure is the load from which it surely does; the play decides between them")
+                 f"figure is the load from which it surely does; the play decides between them", case="a burst comes")
 
 
 def _evidence(demand: Demand, fleet: Fleet) -> Limit:
--- a/umbermoor/planner/plan.py
+++ b/umbermoor/planner/plan.py
@@ -1,12 +1,12 @@
 """The plan: limits in closed form, and searches over plays where these only bracket. Without I/O: plays are asked for."""
 
-from typing import Any, Callable, NamedTuple
+from typing import Any, Callable
 
 from umbermoor.lab.statistics import Interval
 from umbermoor.planner.fit import Demand
-from umbermoor.planner.limits import Limit, goal_bracket, limits, saturation
+from umbermoor.planner.limits import goal_bracket, limits, saturation
 from umbermoor.planner.questions import Answer, Question, by_stage, drains, holds, shares
-from umbermoor.planner.search import Answers, Edge, Search, fewest_machines, gather, highest_load
+from umbermoor.planner.search import Answers, Edge, Search, falling, fewest_machines, gather, highest_load
 from umbermoor.planner.sheets import Fleet
 
 STEP = 0.03  # relative, to which a load is searched
@@ -15,11 +15,6 @@
 FLOOR_PART = 0.02  # of saturation; below that a load is called none
 
 
-class Ask(NamedTuple):
-    demand: Demand
-    fleet: Fleet
-
-
 class Planner:
     """All searches of one plan. ``play`` answers questions; ``told`` hears how many were played."""
 
@@ -30,6 +25,7 @@
         self.rows = limits(demand, fleet)
         self.low, self.high = goal_bracket(demand, fleet)
         self.top = saturation(demand, fleet)
+        self.played: dict[Question, Answer] = {}
 
     def searches(self) -> dict[str, Search]:
         fleet, found = self.fleet, {}
@@ -82,8 +78,25 @@
         answers = yield self._seeded(question)
         return list(answers.values())
 
-    def run(self, play: Callable[[list[Question]], Answers]) -> dict[str, Any]:
-        return gather(self.searches(), play)
+    def run(self, play: Callable[[list[Question]], Answers], found: dict[str, Any] | None = None) -> dict[str, Any]:
+        """What each search found, put into ``found`` as it is: who ends the run early has what is there by then."""
+        def noted(questions: list[Question]) -> Answers:
+            answers = play(questions)
+            self.played.update(answers)
+            return answers
+
+        return gather(self.searches(), noted, found)
+
+    def curve(self) -> dict[str, list[tuple[float, float]]]:
+        """Share in time of the worst profile against load, as played, and never rising."""
+        found: dict[str, dict[float, list[Answer]]] = {}
+        for question, answer in self.played.items():
+            if question.kind in ("steady", "loss") and question.machines == self.fleet.machines:
+                name = "all machines" if question.kind == "steady" else f"without {question.what}"
+                found.setdefault(name, {}).setdefault(question.load, []).append(answer)
+        return {name: [(load, round(share, 5)) for load, share in falling(
+            [(load, min(one.mid for one in shares(answers)), len(answers)) for load, answers in loads.items()])]
+            for name, loads in sorted(found.items())}
 
     # What the answer says.
 
@@ -92,7 +105,7 @@
         names = [one.name for one in demand.profiles]
 
         def share(answers: list[Answer]) -> dict[str, Any]:
-            return {name: _interval(one) for name, one in zip(names, shares(answers))} | {
+            return {name: _interval(_clipped(one)) for name, one in zip(names, shares(answers))} | {
                 "service": round(sum(one.service for one in answers) / len(answers), 4),
                 "rules_broken": sum(one.breaches for one in answers)}
 
@@ -101,13 +114,14 @@
         plays = sum(one.plays for one in found.values() if isinstance(one, Edge))
         scan = sum(one.scan for one in found.values() if isinstance(one, Edge))
         rows = self._rows(found)
+        always = [row["limit"] for row in rows if "reached_at" in row and not row["case"]]
         return {
             "fleet": fleet.name, "partial": partial, "load_now": _interval(demand.rate), "goals": dict(zip(names, self.goals)),
             "demand": {one.name: {"rate": _interval(one.rate), "work_ms": _interval(one.work_ms), "work_cv": one.work_cv,
                                   "hint_cv": one.hint_cv} for one in demand.profiles},
             "burstiness": _interval(demand.burstiness), "peak": demand.peak, "retries": _interval(demand.retry_share),
             "assumptions": [*demand.assumptions, *self._assumptions()],
-            "first": rows[0]["limit"] if rows else None, "runner_up": rows[1]["limit"] if len(rows) > 1 else None,
+            "first": always[0], "runner_up": always[1],
             "limits": rows, "goal_breaks_at": edges.get("load"),
             "machines": {name.partition(" ")[2]: _count(one) for name, one in found.items()
                          if name.startswith("machines ")},
@@ -123,7 +137,7 @@
                             "taken_back": sum(any(row[3] in ("going_back", "withdrawn") for row in one.stages)
                                               for one in found[f"build {place}"]) / len(found[f"build {place}"])}
                            for place, build in enumerate(fleet.build) if f"build {place}" in found],
-            "burst_drains_below": edges.get("burst"),
+            "burst_drains_below": edges.get("burst"), "curve": self.curve(),
             "plays": {"searches": plays, "plain_scan": scan, "seeds": self.seeds, "step": STEP}}
 
     def _rows(self, found: dict[str, Any]) -> list[dict[str, Any]]:
@@ -137,7 +151,7 @@
             if isinstance(edge, Edge):
                 reached, by = self._widened(edge), "plays"
             rows.append({"limit": one.name, "reached_at": _interval(reached), "times_now": _round(reached.mid / self.now),
-                         "by": by, "why": one.why})
+                         "by": by, "case": one.case, "why": one.why})
         rows.sort(key=lambda row: (row["reached_at"][0] is None, row["reached_at"][0] or 0.0, row["limit"]))
         return rows + [{"limit": one.name, "reached_below": _interval(one.reached), "by": "closed form", "why": one.why}
                        for one in self.rows if one.below]
@@ -159,8 +173,9 @@
                 f"advice on when", "machines serve their queue in turn, each worker one query at a time"]
 
 
-def first_limit(rows: list[Limit]) -> Limit:
-    return min((row for row in rows if not row.below), key=lambda row: row.reached.mid)
+def _clipped(one: Interval) -> Interval:
+    """A share lies between 0 and 1."""
+    return Interval(*(min(1.0, max(0.0, value)) for value in one))
 
 
 def _count(edge: Edge) -> dict[str, Any]:
--- a/umbermoor/planner/questions.py
+++ b/umbermoor/planner/questions.py
@@ -1,5 +1,6 @@
 """A question to the virtual fleet, as a day to play; and what is read out of the answer. Without I/O."""
 
+from math import ceil
 from typing import Any, Iterator, NamedTuple
 
 from msgspec import structs
@@ -15,6 +16,7 @@
 QUERIES = 5000  # that a play aims at
 SHORTEST, LONGEST = 8.0, 60.0  # seconds of a play
 SETTLE = 2.0
+LEAST_PART = 0.2  # of a play's queries that a capture must hold to be replayed
 BURST_TIMES, BURST_FOR, DRAINED = 3.0, 4.0, 8.0  # a burst, and seconds after it in which it should have drained
 
 
@@ -91,19 +93,20 @@
 def replayed(day: Day, demand: Demand, arrivals: list[tuple[int, int]]) -> Iterator[Wish] | None:
     """The capture's own arrivals (time and profile), at the day's rate: their bursts stay as they were, and each seed
     begins elsewhere in them. None where the capture is shorter than the play needs, or the day has bursts of its own."""
-    if day.load.burst or not arrivals or len(arrivals) * demand.fronts < 0.5 * day.load.rate * day.length_s:
+    if day.load.burst or not arrivals or len(arrivals) * demand.fronts < LEAST_PART * day.load.rate * day.length_s:
         return None
     chance = Chance(day.seed)
-    span = arrivals[-1][0] - arrivals[0][0] + 1
+    first, span = arrivals[0][0], arrivals[-1][0] - arrivals[0][0] + 1
     pace = len(arrivals) * demand.fronts * SECOND / span / day.load.rate  # how much slower than it was
     length = round(day.length_s * SECOND)
     merged = []
     for front in range(demand.fronts):  # of one front: others are asked alike, at other times of the capture
         shift = round(chance.at("shift", front) * span)
-        for at, profile in arrivals:
-            due = round((at - arrivals[0][0] - shift) % span * pace)
-            if due < length:
-                merged.append((due, profile))
+        for turn in range(ceil(length / (span * pace))):  # it begins anew where the play is longer
+            for at, profile in arrivals:
+                due = round(((at - first - shift) % span + turn * span) * pace)
+                if due < length:
+                    merged.append((due, profile))
     merged.sort()
     return _wishes(day, merged, chance)
 
--- a/umbermoor/planner/queueing.py
+++ b/umbermoor/planner/queueing.py
@@ -4,7 +4,7 @@
 Times are in any one unit; load is arrivals in that unit.
 """
 
-from math import exp, log, sqrt
+from math import erf, erfc, exp, log, sqrt
 
 
 def erlang_c(workers: int, offered: float) -> float:
@@ -37,20 +37,21 @@
     mean = mean_wait(rate, work, workers, work_cv, arrival_cv2)
     span = mean / waits if waits > 0 else 0.0  # of those that wait
     late = 0.0
-    steps = 64
-    for step in range(steps):
-        own = lognormal_quantile((step + 0.5) / steps, work, work_cv)
+    s2 = log(1 + work_cv * work_cv)
+    middle, spread = log(work) - s2 / 2, sqrt(s2)
+    for place in _PLACES:
+        own = exp(middle + spread * place)
         left = aim - own
         if left <= 0:
             late += 1
         elif span > 0:
             late += waits * exp(-left / span)
     tail = lognormal_above(aim, work, work_cv)
-    return min(1.0, max(late / steps, tail))
+    return min(1.0, max(late / len(_PLACES), tail))
 
 
 def lognormal_quantile(part: float, mean: float, cv: float) -> float:
-    if cv <= 0:
+    if cv < 1e-6:
         return mean
     s2 = log(1 + cv * cv)
     return exp(log(mean) - s2 / 2 + sqrt(s2) * normal_quantile(part))
@@ -58,8 +59,8 @@
 
 def lognormal_above(limit: float, mean: float, cv: float) -> float:
     """The share of lognormal amounts over a limit."""
-    from math import erfc
-    if cv <= 0:
+
+    if cv < 1e-6:
         return float(mean > limit)
     s2 = log(1 + cv * cv)
     return 0.5 * erfc((log(limit) - log(mean) + s2 / 2) / sqrt(2 * s2))
@@ -67,7 +68,7 @@
 
 def normal_quantile(part: float) -> float:
     """By bisection on erf; exact to 1e-9."""
-    from math import erf
+
     low, high = -9.0, 9.0
     for _ in range(60):
         mid = (low + high) / 2
@@ -86,3 +87,6 @@
         fits = late_share(mid, work, workers, work_cv, aim, arrival_cv2) <= late_most
         low, high = (mid, high) if fits else (low, mid)
     return low
+
+
+_PLACES = tuple(normal_quantile((step + 0.5) / 64) for step in range(64))  # an even sample of normal amounts
--- a/umbermoor/planner/search.py
+++ b/umbermoor/planner/search.py
@@ -23,9 +23,10 @@
         return (self.low + self.high) / 2
 
 
-def gather(searches: dict[str, Search], ask: Callable[[list[Hashable]], Answers]) -> dict[str, Any]:
-    """What each search found. Each round asks for all that any of them wants, once."""
-    found: dict[str, Any] = {}
+def gather(searches: dict[str, Search], ask: Callable[[list[Hashable]], Answers],
+           found: dict[str, Any] | None = None) -> dict[str, Any]:
+    """What each search found, put into ``found`` as it is. Each round asks for all that any of them wants, once."""
+    found = {} if found is None else found
     wanted: dict[str, list[Hashable]] = {}
     known: Answers = {}
     for name, search in searches.items():
