--- /dev/null
+++ b/benchmarks/common.py
@@ -0,0 +1,25 @@
+"""What the measurements share."""
+
+import statistics
+from pathlib import Path
+from typing import Any, Sequence
+
+import orjson
+from rich.console import Console
+from rich.table import Table
+
+
+def show(title: str, rows: list[dict[str, Any]], out: str | None = None) -> None:
+    table = Table(title=title)
+    for name in rows[0]:
+        table.add_column(name)
+    for row in rows:
+        table.add_row(*(f"{value:.4g}" if isinstance(value, float) else str(value) for value in row.values()))
+    Console(width=170).print(table)
+    if out:
+        Path(out).write_bytes(orjson.dumps(rows, option=orjson.OPT_INDENT_2) + b"\n")
+
+
+def spread(values: Sequence[float]) -> str:
+    """Median, and from the least to the most."""
+    return f"{statistics.median(values):.4g} [{min(values):.4g}, {max(values):.4g}]"
--- /dev/null
+++ b/benchmarks/http2_fuzz.py
@@ -0,0 +1,79 @@
+"""Throws frames, garbled and in pieces, at a session's inbound path: it must raise nothing, hold bounded memory, and
+leave
+no call open once it has ended.
+
+Usage: python -m benchmarks.http2_fuzz [--seconds N] [--seed N]
+"""
+
+import random
+import sys
+import time
+
+from umbermoor.http1.buffers import Buffers
+from umbermoor.http2.frames import FRAME_MOST, HEAD
+from umbermoor.http2.session import Call, Session
+
+HEADS = [(":method", "GET"), (":scheme", "http"), (":authority", "api"), (":path", "/api")]
+BLOCKS = (b"\x88", b"\x88\x5f\x01x", b"\x08\x03200", b"\x00\x01a\x01b\x88", bytes(range(40)), b"\xff" * 30,
+          b"\x82\x86", b"")
+
+
+def frame(chance: random.Random) -> bytes:
+    kind, flags = chance.choice((0, 0, 1, 1, 1, 3, 4, 5, 6, 7, 8, 9, 10, 255)), chance.choice((0, 1, 4, 5, 8, 0x20,
+                                                                                               255))
+    stream = chance.choice((0, 1, 3, 5, 7, 2, 99, 2**31 - 1))
+    payload = chance.choice((b"", chance.choice(BLOCKS), bytes(8), bytes(4), chance.randbytes(chance.randrange(60)),
+                             (2**31 - 1).to_bytes(4), b"x" * chance.randrange(FRAME_MOST)))
+    length = len(payload) if chance.random() < 0.95 else chance.randrange(1 << 24)
+    return length.to_bytes(3) + bytes([kind, flags]) + stream.to_bytes(4) + payload
+
+
+def play(chance: random.Random) -> int:
+    buffers, ended, calls = Buffers(4 << 20), [], []
+    session = Session(buffers, 0)
+    for _ in range(4):
+        calls.append(Call([*HEADS], b"order" * chance.randrange(3), lambda: True, ended.append))
+        session.ask(calls[-1])
+    if chance.random() < 0.9:
+        session.receive(0, (0).to_bytes(3) + b"\x04\x00" + bytes(4))
+    count = chance.randrange(1, 60)
+    data = b"".join(frame(chance) for _ in range(count))
+    if chance.random() < 0.3:
+        flipped = bytearray(data)
+        for _ in range(3):
+            flipped[chance.randrange(len(flipped))] ^= 1 << chance.randrange(8)
+        data = bytes(flipped)
+    at = now = 0
+    while at < len(data) and not session.ended:
+        while session.next_bytes():
+            pass
+        size = chance.choice((1, HEAD, 50, 5000, 1 << 20))
+        now += 1000
+        session.receive(now, data[at:at + size])
+        at += size
+    session.lost()
+    for call in session.take_back():
+        call.settle(None)
+    assert len(ended) == len(calls) and session.open == 0 and buffers.out == 0, (len(ended), session.open, buffers.out)
+    return count
+
+
+def main(words: list[str]) -> int:
+    seconds = float(words[words.index("--seconds") + 1]) if "--seconds" in words else 20.0
+    seed = int(words[words.index("--seed") + 1]) if "--seed" in words else 1
+    frames = plays = 0
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        chance = random.Random(f"{seed}/{plays}")
+        try:
+            frames += play(chance)
+        except Exception as error:
+            print(f"play {plays} of seed {seed}: {type(error).__name__}: {error}")
+            return 1
+        plays += 1
+    print(f"{plays} connections, {frames} frames in {seconds:g} s: nothing was raised, no call left open, no buffer kept")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/lifecycle_test.py
@@ -0,0 +1,313 @@
+"""A front's own life: the table of states, every order of what may happen, memory over restarts, background work."""
+
+import itertools
+import os
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as some
+
+from umbermoor.http1.reader import Request
+from umbermoor.lifecycle.keeper import DEADLINE, EMPTY_FOR, RAMP, RAMP_LEAST, SECOND, Due, Keeper
+from umbermoor.lifecycle.scheduler import PRESSED_WAIT, SLICE_MOST, Scheduler
+from umbermoor.lifecycle.snapshot import (OLD, SPEEDS_FOR, MachineMemory, Memory, Unfit, fit, load, pack, unpack,
+                                          usable,
+                                          write)
+from umbermoor.lifecycle.states import CLOSES, TABLE, UP, Event, State
+from umbermoor.lifecycle.ways import Ways, metrics_text
+from umbermoor.lifecycle.wheel import Wheel
+
+
+def test_every_event_is_defined_in_every_state_and_there_is_no_way_back_from_leaving():
+    assert set(TABLE) == set(itertools.product(State, Event))
+    assert {TABLE[State.LEAVING, event] for event in Event} == {State.LEAVING}
+    assert all(TABLE[state, Event.LEAVE] is State.LEAVING for state in State)
+    assert not UP & CLOSES
+    for state, event in TABLE:  # asked twice, nothing more happens
+        if event in (Event.DRAIN, Event.RESUME, Event.LEAVE):
+            assert TABLE[TABLE[state, event], event] in (TABLE[state, event], State.SERVING)
+
+
+def serving() -> Keeper:
+    keeper = Keeper(0, 100)
+    keeper.ready(0)
+    return keeper
+
+
+def test_a_drain_ends_when_nothing_is_in_hand_or_at_its_deadline():
+    keeper = serving()
+    assert keeper.drain(0, 2 * SECOND) == "draining" and keeper.closes and not keeper.up and keeper.admits(0, 5)
+    assert keeper.tick(0, 3) == [Due.CLOSE_IDLE]
+    assert keeper.tick(SECOND, 0) == [] and keeper.tick(SECOND + 1, 1) == []  # one that crossed
+    assert keeper.tick(SECOND + EMPTY_FOR, 1) == [] and keeper.state is State.DRAINING
+    assert keeper.drain(SECOND, 9 * SECOND) == "the deadline is moved" and keeper.next_at(SECOND) is not None
+    assert keeper.tick(3 * SECOND, 1) == [] and keeper.tick(10 * SECOND, 1) == [Due.GIVE_UP]
+    keeper.tick(10 * SECOND, 0)
+    assert keeper.state is State.DRAINED and not keeper.admits(10 * SECOND, 0)
+    assert keeper.drain(0) == "drained already"
+
+
+def test_a_drain_is_called_off_at_its_deadline_and_asked_for_again():
+    keeper = serving()
+    keeper.drain(0, SECOND)
+    assert keeper.resume(SECOND) == "resuming" and keeper.tick(SECOND, 4) == []
+    assert keeper.up and keeper.admits(SECOND, RAMP_LEAST - 1) and not keeper.admits(SECOND, RAMP_LEAST)
+    assert keeper.most(SECOND + RAMP // 2) == RAMP_LEAST + (100 - RAMP_LEAST) // 2
+    keeper.drain(SECOND + 1)
+    assert keeper.deadline == SECOND + 1 + DEADLINE
+    keeper.tick(SECOND + 2, 0)
+    keeper.tick(SECOND + 2 + EMPTY_FOR, 0)
+    assert keeper.state is State.DRAINED and keeper.resume(2 * SECOND) == "resuming"
+    assert keeper.tick(2 * SECOND, 0) == [Due.FORGET] and not keeper.votes
+    keeper.tick(2 * SECOND + RAMP, 0)
+    assert keeper.state is State.SERVING and keeper.votes and keeper.resume(0) == "in service already"
+    keeper.leave(9 * SECOND)
+    assert keeper.drain(9 * SECOND) == "leaving already" and "no way back" in keeper.resume(9 * SECOND)
+
+
+class Hand:
+    """A front as the keeper's host plays it, with two queries: one lookup, one booking."""
+
+    STEPS = ("drain0", "drain1", "resume", "leave", "lookup", "booking", "answer", "late", "wait")
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.keeper = serving()
+        self.open: dict[str, bool] = {}  # query: whether it may have run
+        self.answers: dict[str, list[str]] = {}
+        self.made = 0
+
+    def play(self, step: str) -> None:
+        self.now += 50_000
+        if step in ("lookup", "booking"):
+            self.made += 1
+            query = f"{step}{self.made}"
+            self.answers[query] = []
+            if self.keeper.admits(self.now, len(self.open)):
+                self.open[query] = step == "booking"
+            else:
+                self.end(query, "denied")
+        elif step == "answer" and self.open:
+            query = next(iter(self.open))
+            del self.open[query]
+            self.end(query, "done")
+        elif step.startswith("drain"):
+            self.keeper.drain(self.now, int(step[-1]) * SECOND // 2)
+        elif step == "resume":
+            self.keeper.resume(self.now)
+        elif step == "leave":
+            self.keeper.leave(self.now)
+        self.now += SECOND if step == "wait" else 0
+        for _ in range(3):
+            for due in self.keeper.tick(self.now, len(self.open)):
+                if due is Due.GIVE_UP:
+                    for query, ran in list(self.open.items()):
+                        del self.open[query]
+                        self.end(query, "abandoned" if ran else "denied")
+
+    def end(self, query: str, how: str) -> None:
+        self.answers[query].append(how)
+
+    def check(self) -> None:
+        assert all(len(one) <= 1 for one in self.answers.values())
+        for query, how in self.answers.items():
+            assert bool(how) != (query in self.open)
+            if query.startswith("booking") and how == ["denied"]:
+                assert query not in self.open
+        if self.keeper.state is State.DRAINED:
+            assert not self.open and self.keeper.deadline is None
+        if self.keeper.state is State.DRAINING and self.keeper.deadline is not None:
+            assert not self.open or self.now < self.keeper.deadline
+        at = self.keeper.next_at(self.now)
+        assert at is None or at >= self.now - SECOND or self.keeper.state is State.DRAINING
+
+
+@pytest.mark.parametrize("first", Hand.STEPS)
+def test_every_order_of_commands_queries_and_answers_four_deep(first):
+    for steps in itertools.product(Hand.STEPS, repeat=3):
+        hand = Hand()
+        for step in (first, *steps):
+            hand.play(step)
+            hand.check()
+
+
+# The wheel, against a plain list.
+
+@settings(max_examples=150, deadline=None)
+@given(some.lists(some.tuples(some.integers(0, 3), some.integers(0, 20_000_000)), max_size=60),
+       some.sampled_from([1, 7, 1000]))
+def test_the_wheel_fires_what_a_list_would(steps, grain):
+    wheel, plain, now = Wheel(5, grain), [], 5
+    for what, number in steps:
+        if what <= 1:
+            timer = wheel.set(now + number, number)
+            plain.append(timer)
+        elif what == 2 and plain:
+            assert wheel.cancel(plain.pop(number % len(plain))) is True
+        else:
+            now += number // 3
+            fired = wheel.advance(now)
+            due = [one for one in plain if one.at <= now - grain]
+            assert set(due) <= set(fired) and all(one.at <= now for one in fired)
+            assert [one.at // grain for one in fired] == sorted(one.at // grain for one in fired) or grain > 1
+            plain = [one for one in plain if one not in fired]
+        assert wheel.count == len(plain) == len(list(wheel))
+        assert all(one.active for one in plain)
+        if plain:
+            assert wheel.next_at() <= max(min(one.at for one in plain) + grain, now + grain)
+        else:
+            assert wheel.next_at() is None
+
+
+def test_a_timer_far_away_comes_down_through_the_levels():
+    wheel = Wheel(0, 1)
+    times = [3, 255, 256, 70_000, 20_000_000, 5_000_000_000]
+    for at in times:
+        wheel.set(at, at)
+    seen, now = [], 0
+    while wheel.count:
+        now = max(now + 1, wheel.next_at())
+        seen += [(one.value, now) for one in wheel.advance(now)]
+    assert seen == [(at, at) for at in times]
+
+
+# Background work.
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 10**9
+
+    def __call__(self) -> int:
+        return self.now
+
+
+def worker(clock: Clock, log: list, name: str, slices: int, took: int, moved: int = 0):
+    def make():
+        for _ in range(slices):
+            clock.now += took
+            log.append(name)
+            yield moved
+    return make
+
+
+def test_the_more_urgent_goes_first_and_ageing_lets_nothing_starve():
+    clock, log = Clock(), []
+    scheduler = Scheduler(clock)
+    scheduler.add("low", 5, worker(clock, log, "low", 3, 100))
+    scheduler.add("high", 0, worker(clock, log, "high", 400, 100))
+    for _ in range(800):
+        clock.now += 20_000
+        scheduler.run()
+    assert log[0] == "high" and log.count("low") == 3 and log.count("high") > 300
+
+
+def test_budgets_hold_over_any_long_while_and_queries_come_first():
+    clock, log = Clock(), []
+    scheduler = Scheduler(clock)
+    scheduler.add("busy", 0, worker(clock, log, "busy", 10**6, 2_000))
+    start = clock.now
+    while clock.now < start + 10 * SECOND:
+        clock.now += 1_000 if not scheduler.run() else 0
+    assert len(log) * 2_000 <= 10 * 50_000 + 20_000
+    pressed = len(log)
+    for _ in range(100):
+        clock.now += 10_000
+        scheduler.run(pressed=True)
+    assert len(log) == pressed
+    clock.now += PRESSED_WAIT
+    scheduler.run(pressed=True)
+    assert len(log) == pressed + 1
+
+
+def test_bytes_are_a_budget_too_and_what_fails_or_is_slow_is_told():
+    clock, log, told = Clock(), [], []
+    scheduler = Scheduler(clock, told=lambda task, what: told.append((task.name, what)))
+    scheduler.add("copy", 0, worker(clock, log, "copy", 100, 10, 1 << 20))
+    for _ in range(20):
+        clock.now += 10_000
+        scheduler.run()
+    assert len(log) <= 3
+
+    def bad():
+        yield 0
+        raise ValueError("broken")
+
+    task = scheduler.add("bad", 0, bad, every=SECOND)
+    scheduler.add("slow", 0, worker(clock, log, "slow", 1, SLICE_MOST + 1))
+    for _ in range(400):
+        clock.now += 10_000
+        scheduler.run()
+    assert ("bad", "fault: ValueError: broken") in told and ("slow", f"a slice of {SLICE_MOST + 1} us") in told
+    assert task.runs >= 2 and task.faults >= 2
+    scheduler.cancel(task)
+    runs = task.runs
+    for _ in range(300):
+        clock.now += 10_000
+        scheduler.run()
+    assert task.runs == runs and task not in scheduler.tasks
+
+
+# Memory.
+
+MEMORY = Memory(10**15, "n0", "sum", 1.0, 2.0, 3.0, (4.0,), (MachineMemory("m", 1, 7, 1.0, 2.0, 3.0, 0.1),))
+
+
+def test_a_snapshot_is_read_as_it_was_written_and_used_only_where_it_fits(tmp_path):
+    path = str(tmp_path / "s")
+    assert load(path) is None
+    write(path, MEMORY)
+    assert load(path) == MEMORY and fit(MEMORY, 10**15 + 5, "n0", "sum") is None
+    for wrong in (fit(MEMORY, 10**15 + OLD + 1, "n0", "sum"), fit(MEMORY, 10**15 - 1, "n0", "sum"),
+                  fit(MEMORY, 10**15, "n1", "sum"), fit(MEMORY, 10**15, "n0", "other")):
+        assert isinstance(wrong, Unfit) and wrong.why
+    assert usable(MEMORY, 10**15, {"m": (1, 7)}) == list(MEMORY.machines)
+    assert usable(MEMORY, 10**15, {"m": (2, 7)}) == usable(MEMORY, 10**15 + SPEEDS_FOR + 1, {"m": (1, 7)}) == []
+
+
+def test_a_snapshot_torn_at_any_byte_or_with_any_bit_flipped_is_named_and_not_used():
+    data = pack(MEMORY)
+    for cut in range(len(data)):
+        assert isinstance(unpack(data[:cut]), Unfit)
+    for place in range(len(data)):
+        flipped = bytearray(data)
+        flipped[place] ^= 0x10
+        assert isinstance(unpack(bytes(flipped)), Unfit)
+    assert "version 2" in unpack(data[:6] + b"\x02" + data[7:]).why
+
+
+def test_killed_in_the_middle_of_a_write_the_old_one_is_there(tmp_path, monkeypatch):
+    path = str(tmp_path / "s")
+    write(path, MEMORY)
+    newer = MEMORY._replace(at=MEMORY.at + 1)
+    whole = pack(newer)
+    for cut in range(0, len(whole), 3):  # what a kill leaves beside it
+        (tmp_path / "s.part").write_bytes(whole[:cut])
+        assert load(path) == MEMORY
+    monkeypatch.setattr(os, "replace", lambda *_: (_ for _ in ()).throw(OSError(28, "full")))
+    with pytest.raises(OSError):
+        write(path, newer)
+    assert load(path) == MEMORY
+
+
+# The door.
+
+def asked(method: str, path: str, body: bytes = b"", **headers: str) -> Request:
+    return Request(method, path, headers, body, True)
+
+
+def test_the_door_answers_what_it_knows_and_says_what_is_wrong():
+    seen = []
+    ways = Ways({"status": lambda: {"state": "serving"}, "drain": lambda within: seen.append(within) or "draining",
+                 "resume": lambda: "resuming", "metrics": lambda: b"x 1\n", "hands": list, "config": dict})
+    assert ways.answer(asked("GET", "/status")).body == b'{"state":"serving"}\n'
+    assert ways.answer(asked("POST", "/drain", b'{"deadline_s":1.5}')).status == 200 and seen == [1_500_000]
+    assert ways.answer(asked("POST", "/drain")).status == 200 and seen[-1] is None
+    for body in (b"{", b'{"deadline_s":-1}', b'{"deadline_s":true}', b'{"deadline_s":"x"}', b"[]"):
+        assert ways.answer(asked("POST", "/drain", body)).status == 400
+    assert ways.answer(asked("GET", "/drain")).status == 405 and ways.answer(asked("GET", "/x")).status == 404
+    closed = Ways({"status": dict}, "a" * 20)
+    assert closed.answer(asked("GET", "/status")).status == 401
+    assert closed.answer(asked("GET", "/status", authorization="Bearer " + "a" * 20)).status == 200
+    assert closed.answer(asked("GET", "/status", authorization="Bearer é")).status == 401
+    text = metrics_text([("a_total", "counter", "h", {"p": 'x"y'}, 2.0), ("b", "gauge", "h", {}, 3)]).decode()
+    assert 'umbermoor_a_total{p="x\\"y"} 2.0' in text and "umbermoor_b 3.0" in text and "# TYPE umbermoor_b gauge" in text
--- a/tests/sockets_test.py
+++ b/tests/sockets_test.py
@@ -1,8 +1,12 @@
 """Body two: a real front on loopback, killed and started again, with a capture; and that the ledger of it holds."""
 
+import orjson
+
 from umbermoor.capture.files import read_capture
 from umbermoor.lab.day import Day
 from umbermoor.lab.sockets.runner import play_on_sockets
+from umbermoor.lifecycle.command import ask
+from umbermoor.lifecycle.snapshot import load
 from umbermoor.sheet import parse_sheet
 
 DAY = b"""day "loopback" length-s=7 seed=4 settle-s=1 {
@@ -28,3 +32,38 @@
     assert outcome["stages"][0][1] == 1 and len(outcome["machines"]) >= 4
     capture = read_capture(str(tmp_path / "kept"))
     assert len(capture.rows) > 10 and {row.ending for row in capture.rows} & {"done"}
+
+
+DRAINS = b"""day "drains" length-s=8 seed=6 settle-s=0.5 {
+  load 60
+  front 2
+  clients retries=2 wait-ms=50
+  profile "look" share=2 work-ms=60 cv=0.5
+  profile "book" share=1 repeat="once" work-ms=60 cv=0.5
+  group "a" machines=4 workers=2
+  trouble "lost" at-s=1 for-s=6 part=0.5 size=0.1
+}"""
+
+
+def test_a_front_is_drained_called_back_and_drained_again_under_load(tmp_path):
+    for name in ("n0", "n1"):
+        (tmp_path / f"{name}.kdl").write_text(
+            f'front {{\n  door "unix:{tmp_path}/{name}.sock"\n  remember "{tmp_path}/{name}.snap" every-s=0.5\n}}')
+    door = f"unix:{tmp_path}/n0.sock"
+    due = [(2.0, "/drain", {"deadline_s": 5}), (2.3, "/resume", None), (4.0, "/drain", {"deadline_s": 0.4}),
+           (6.0, "/resume", None)]
+    said, states = [], []
+
+    def operator(at: float) -> None:
+        while due and at >= due[0][0]:
+            _, way, body = due.pop(0)
+            status, answer = ask(door, "POST", way, body)
+            said.append((status, orjson.loads(answer)["answer"]))
+        if at > 1:
+            states.append(orjson.loads(ask(door, "GET", "/status")[1])["state"])
+
+    outcome = play_on_sockets(parse_sheet(DRAINS, "d", "day", Day), operator, sheet=f"{tmp_path}/NAME.kdl")
+    assert outcome["audit"]["breaches"] == 0, outcome["audit"]["first"]
+    assert [one for _, one in said] == ["draining", "resuming", "draining", "resuming"]
+    assert {"serving", "draining", "drained", "resuming"} <= set(states), states
+    assert outcome["in_time"] > 0.8 and load(f"{tmp_path}/n0.snap").machines
--- a/umbermoor/__main__.py
+++ b/umbermoor/__main__.py
@@ -7,6 +7,7 @@
   umbermoor lab [<words>...]
   umbermoor capture [<words>...]
   umbermoor plan [<words>...]
+  umbermoor ctl [<words>...]
   umbermoor (-h | --help)
 
 Commands:
@@ -15,6 +16,7 @@
   version  print the version
   lab      play days in virtual time or on loopback, compare, report; see umbermoor lab --help
   capture  what a front was asked, as it wrote it down; see umbermoor capture --help
+  ctl      ask a front that runs: status, drain, resume, watch; see umbermoor ctl --help
   plan     what breaks first, and how many machines hold the goal; see umbermoor plan --help
 
 Options:
@@ -35,7 +37,8 @@
 from umbermoor.station import Misplaced, read_station
 
 
-EXTRAS = {"lab": "umbermoor.lab.command", "capture": "umbermoor.capture.command", "plan": "umbermoor.planner.command"}
+EXTRAS = {"lab": "umbermoor.lab.command", "capture": "umbermoor.capture.command", "plan": "umbermoor.planner.command",
+          "ctl": "umbermoor.lifecycle.command"}
 
 
 def extra(words: list[str]) -> int:
--- a/umbermoor/capture/recorder.py
+++ b/umbermoor/capture/recorder.py
@@ -84,7 +84,8 @@
         now = self._clock()
         if not self._rows:
             self._since = now
-        self._rows.append(Row(held.came, held.profile, held.repeated, held.hint, ending, held.hand_offs, now - held.came,
+        self._rows.append(Row(held.came, held.profile, held.repeated, held.hint, ending, held.hand_offs,
+                              now - held.came,
                               max(0, held.due - held.came), held.machine, held.ahead, held.sent, held.served))
         if len(self._rows) >= ROWS_MOST or now - self._since >= FRAME_EVERY:
             self.flush()
--- a/umbermoor/facade.py
+++ b/umbermoor/facade.py
@@ -9,6 +9,7 @@
 from typing import Callable, NamedTuple, Sequence
 
 from umbermoor.interface import Charter, Do, Ending, Entry, Listing, News, Verdict
+from umbermoor.records import Contrast, Pace
 from umbermoor.rules import Front
 
 
@@ -188,6 +189,30 @@
                 front.peer_told(now, peer, payload)
         return self._next()
 
+    def forget(self) -> None:
+        """What was seen of the stage is too old to vote on."""
+        front = self._front
+        front.stage, front.trial, front.paces = front.stage.next(), Contrast(), (Pace(), Pace())
+
+    def remember(self) -> tuple[float, float, float, tuple[float, ...], list[tuple]]:
+        """What is worth keeping over a restart: the fleet's pace, what a machine carried, usual work, and by machine its
+        id, build, start, answer times, work ahead of them, usual silence and failures."""
+        front = self._front
+        return front.took, front.work, front.carried, tuple(front.usual), [
+            (one.id, one.build, one.born, one.took, one.work, one.gap, one.fails) for one in front.machines.values()]
+
+    def recall(self, took: float, work: float, carried: float, usual: Sequence[float], machines: Sequence[tuple]) -> None:
+        """The same, after a restart. Of machines those are taken that are listed; their times are as of now."""
+        front, now = self._front, self._clock()
+        if took > 0 < work and len(usual) == len(front.usual):
+            front.took, front.work, front.usual = took, work, list(usual)
+            front.carried = max(front.carried, carried)
+        for id, build, born, *seen in machines:
+            known = front.machines.get(id)
+            if known and (known.build, known.born) == (build, born):
+                known.took, known.work, known.gap, known.fails = seen
+                known.seen = now
+
     def tick(self) -> list[Step]:
         self._front.woken(self._clock())
         return self._next()
--- a/umbermoor/house.py
+++ b/umbermoor/house.py
@@ -23,13 +23,35 @@
 
 
 class Http2(Record, frozen=True, kw_only=True):
-    """Its presence switches HTTP/2 to machines on; those that do not speak it are asked in HTTP/1.1."""
+    """Its presence switches HTTP/2 to machines on; those that do not speak it are asked in HTTP/1.1. ``listed``: only those
+    whose entry in the list has "speaks": "h2c". An entry with "http/1.1" is believed in any case."""
+
+    machines: Literal["all", "listed"] = "all"
+
+
+class DoorAt(Record, frozen=True, kw_only=True):
+    """Where operators ask: 127.0.0.1:PORT or unix:/path. A token file is for TCP."""
+
+    PLACES = ("where",)
+    where: Annotated[str, Meta(pattern=r"^(unix:/.+|127\.\d+\.\d+\.\d+:\d{1,5})$")]
+    token: str = ""
+
+    def fault(self) -> str | None:
+        return None if self.where.startswith("unix:") or self.token else "expected a token file where the door is on TCP"
+
+
+class Remember(Record, frozen=True, kw_only=True):
+    PLACES = ("path",)
+    path: Path
+    every_s: Annotated[float, Meta(ge=0.1, le=3600)] = 10
 
 
 class House(Record, frozen=True, kw_only=True):
     logs: Logs = Logs()
     capture: CaptureTo | None = None
     http2: Http2 | None = None
+    door: DoorAt | None = None
+    remember: Remember | None = None
 
 
 def read_house(path: str) -> House:
--- a/umbermoor/http2/session.py
+++ b/umbermoor/http2/session.py
@@ -1,7 +1,8 @@
 """One connection to a machine, without I/O: queries onto streams, answers from them, and what each end proves.
 
 A query is turned into frames only when the kernel has accepted all that was written before, and one at a time: so what
-waits was never sent, and whatever ends the connection, at most one query is in part. A host calls ``next_bytes`` whenever
+waits was never sent, and whatever ends the connection, at most one query is in part. A host calls ``next_bytes``
+whenever
 the transport has nothing left to write, ``receive`` with what came, ``lost`` when the connection has ended. Each call's
 ``ended`` is called once. Source: RFC 9113.
 """
@@ -143,7 +144,8 @@
             self._codec.ping(now.to_bytes(8))
 
     def next_bytes(self) -> bytes:
-        """What is to be written now. Only to be called when all that was written before is with the kernel; empty: wait."""
+        """What is to be written now. Only to be called when all that was written before is with the kernel; empty:
+        wait."""
         if self._written is not None:
             self._written.call.stand = max(self._written.call.stand, Stand.WHOLE)
             self._written = None
@@ -205,7 +207,8 @@
                 self._decode(found)
 
     def _passed_over(self, frame: bytes) -> bool:
-        """Heads for streams that we have given up on. Threat: the codec takes some of them for a fault of the connection,
+        """Heads for streams that we have given up on. Threat: the codec takes some of them for a fault of the
+        connection,
         and one query's time-out ends its neighbours."""
         kind, flags, number = frame[3], frame[4], int.from_bytes(frame[5:9]) & 0x7FFFFFFF
         if kind == Kind.CONTINUATION and self._block_open or kind not in (Kind.HEADERS, Kind.CONTINUATION):
@@ -231,7 +234,8 @@
         self._let_flow(events)
 
     def _let_flow(self, events: list) -> None:
-        """All that came is ours already: the windows open again at once. What we hold of it is bounded by the buffers."""
+        """All that came is ours already: the windows open again at once. What we hold of it is bounded by the
+        buffers."""
         for event in events:
             if isinstance(event, h2.events.DataReceived) and event.flow_controlled_length and not self.ended:
                 try:
--- a/umbermoor/lab/compare.py
+++ b/umbermoor/lab/compare.py
@@ -1,6 +1,7 @@
 """Experiments: two variants over days and seeds with common random numbers, in parallel, resumable after a kill.
 
-A variant is a work tree of this repository, with a Python of its own; each play is a process of its own there. Results are
+A variant is a work tree of this repository, with a Python of its own; each play is a process of its own there. Results
+are
 kept as they come, a line each, so that a run that was ended goes on where it was.
 """
 
@@ -56,7 +57,8 @@
     return found
 
 
-def run(plays: list[Play], kept: Path, workers: int, told: Callable[[str, int, int], None]) -> dict[str, dict[str, Any]]:
+def run(plays: list[Play], kept: Path, workers: int, told: Callable[[str, int, int], None]) -> dict[str,
+                                                                                                    dict[str, Any]]:
     """Plays what is not known yet. Raises RuntimeError with what a play said that ended badly."""
     found = read_results(kept)
     todo = [one for one in plays if one.key not in found]
--- a/umbermoor/lab/machine.py
+++ b/umbermoor/lab/machine.py
@@ -1,6 +1,7 @@
 """One machine, without I/O: workers, queue, warmth, limits, the build's faults, and what befalls it.
 
-A host (the virtual fleet, or a stand-in on loopback) calls ``offer`` when a query is whole at the machine, and ``advance``
+A host (the virtual fleet, or a stand-in on loopback) calls ``offer`` when a query is whole at the machine, and
+``advance``
 at ``next_at``; both time and chance are given. Work is microseconds of one worker at speed 1. All workers run at one
 speed at a time, so a machine's running work is kept by a clock of work done: a change of speed moves no job.
 """
--- a/umbermoor/lab/measure.py
+++ b/umbermoor/lab/measure.py
@@ -49,7 +49,8 @@
             count = self._asked[place]
             asked, worth = asked + count * row.value, worth + self._worth[place] * row.value
             rows[row.name] = {
-                "asked": count, "in_time": _part(self._aimed[place], count), "service": _part(self._worth[place], count),
+                "asked": count, "in_time": _part(self._aimed[place], count),
+                "service": _part(self._worth[place], count),
                 "endings": dict(sorted(self._endings[place].items())),
                 "ms": {f"p{at:g}": round(self._times[place].get_value_at_percentile(at) / 1000, 2)
                        for at in PERCENTILES} if self._times[place].get_total_count() else {}}
--- a/umbermoor/lab/sockets/callers.py
+++ b/umbermoor/lab/sockets/callers.py
@@ -2,7 +2,8 @@
 
 Usage: python -m umbermoor.lab.sockets.callers DAY.json EVENTS.json BEGIN WISHES.json PORT [PORT ...]
 
-Queries are asked when they are due, however slow the answers; how far it fell behind its own pace is part of the result.
+Queries are asked when they are due, however slow the answers; how far it fell behind its own pace is part of the
+result.
 """
 
 import sys
@@ -33,7 +34,7 @@
 
     def __init__(self) -> None:
         self._reader = Reader(BUFFERS, responses=True)
-        self.call: "Call | None" = None
+        self.call: Call | None = None
         self.open = False
         self.since = 0
 
@@ -67,7 +68,8 @@
     def send(self, line: Line) -> None:
         wish, row = self.journey.wish, self.journey.row
         self.line, line.call = line, self
-        headers = {"X-Txn": self.query, "X-Lane": row.name, "X-Remaining": f"{max(0.001, (self.due - now()) / 1e6):.6f}",
+        headers = {"X-Txn": self.query, "X-Lane": row.name,
+                   "X-Remaining": f"{max(0.001, (self.due - now()) / 1e6):.6f}",
                    "X-Estimate": str(wish.hint)}
         if self.journey.tries > 1 and self.crowd.day.clients.marks:
             headers["X-Resent"] = "1"
--- a/umbermoor/lab/sockets/common.py
+++ b/umbermoor/lab/sockets/common.py
@@ -1,4 +1,5 @@
-"""What the stand-ins, the load and the runner share: the clock, the events' file, and connections that answer requests."""
+"""What the stand-ins, the load and the runner share: the clock, the events' file, and connections that answer
+requests."""
 
 import time
 from typing import Any, Callable
--- /dev/null
+++ b/umbermoor/lifecycle/keeper.py
@@ -0,0 +1,143 @@
+"""Keeps a front's state by the table: commands, deadlines and the ramp; decisions without I/O. Times are microseconds.
+
+A host reports commands and what it has in hand, asks ``admits`` for each query, and calls ``tick`` at ``next_at``; it
+then
+does what ``Due`` says.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+from umbermoor.lifecycle.states import CLOSES, TABLE, UP, VOTES, Event, State
+
+SECOND = 1_000_000
+DEADLINE = 30 * SECOND  # of a drain that names none
+LONGEST = 3600 * SECOND
+RAMP = 5 * SECOND  # from a return until all is taken again
+RAMP_LEAST = 4  # queries at once that a front which is back takes at first
+BACK_IN = SECOND  # when to come back, for who is turned away
+EMPTY_FOR = SECOND // 10  # so long with nothing in hand, and it is drained: a query that crosses is still read
+
+
+class Due(Enum):
+    CLOSE_IDLE = "tell idle clients to go"
+    GIVE_UP = "answer at once all that is in hand"
+    FORGET = "evidence is too old to vote on"
+
+
+class Entry(NamedTuple):
+    """One change, for the operators."""
+
+    at: int
+    state: State
+    why: str
+
+
+class Keeper:
+    def __init__(self, now: int, room: int) -> None:
+        """``room``: queries at once that the front can hold at the most."""
+        self.state, self._room = State.STARTING, max(RAMP_LEAST, room)
+        self.deadline: int | None = None
+        self._back_at = 0  # when it came back
+        self._empty_since: int | None = None
+        self._dues: list[Due] = []
+        self.history: list[Entry] = [Entry(now, self.state, "start")]
+
+    # Commands.
+
+    def ready(self, now: int) -> None:
+        self._move(now, Event.READY, "list and stage are known")
+
+    def drain(self, now: int, within: int | None = None) -> str:
+        """Asked again, the new deadline takes the old one's place. What came of it, for who asked."""
+        if self.state is State.LEAVING:
+            return "leaving already"
+        if self.state is State.DRAINED:
+            return "drained already"
+        again = self.state is State.DRAINING
+        self.deadline = now + min(LONGEST, max(0, DEADLINE if within is None else within))
+        self._move(now, Event.DRAIN, "asked to drain")
+        if not again:
+            self._empty_since = None
+            self._dues.append(Due.CLOSE_IDLE)
+        return "the deadline is moved" if again else "draining"
+
+    def resume(self, now: int) -> str:
+        if self.state not in (State.DRAINING, State.DRAINED):
+            return {State.LEAVING: "leaving: there is no way back"}.get(self.state, "in service already")
+        drained = self.state is State.DRAINED
+        self._back_at, self.deadline = now, None
+        self._dues = [one for one in self._dues if one is not Due.CLOSE_IDLE]
+        self._move(now, Event.RESUME, "asked to resume")
+        if drained:
+            self._dues.append(Due.FORGET)
+        return "resuming"
+
+    def leave(self, now: int) -> None:
+        self.deadline = None
+        self._move(now, Event.LEAVE, "SIGTERM")
+
+    # Queries.
+
+    def admits(self, now: int, in_hand: int) -> bool:
+        """Whether a query that came is taken; who is not, is told when to come back, and nothing was done for it."""
+        if self.state is State.DRAINED:
+            return False
+        return self.state is not State.RESUMING or in_hand < self.most(now)
+
+    def most(self, now: int) -> int:
+        """Queries at once that it takes: few at first, and then more in step with the time since its return."""
+        if self.state is not State.RESUMING:
+            return self._room
+        return RAMP_LEAST + (self._room - RAMP_LEAST) * max(0, min(RAMP, now - self._back_at)) // RAMP
+
+    @property
+    def up(self) -> bool:
+        return self.state in UP
+
+    @property
+    def closes(self) -> bool:
+        return self.state in CLOSES
+
+    @property
+    def votes(self) -> bool:
+        return self.state in VOTES
+
+    # Time.
+
+    def next_at(self, now: int) -> int | None:
+        times = []
+        if self.state is State.DRAINING:
+            times.append(self.deadline)
+            times.append((self._empty_since if self._empty_since is not None else now) + EMPTY_FOR)
+        if self.state is State.RESUMING:
+            times.append(self._back_at + RAMP)
+        return min((one for one in times if one is not None), default=None)
+
+    def tick(self, now: int, in_hand: int) -> list[Due]:
+        """What is to be done now. At the deadline it is drained only once all has been answered: the host does so at
+        once, and the next tick finds nothing in hand."""
+        if self.state is State.DRAINING:
+            if in_hand:
+                self._empty_since = None
+            elif self._empty_since is None:
+                self._empty_since = now
+            if self.deadline is not None and now >= self.deadline:
+                if in_hand:
+                    self._dues.append(Due.GIVE_UP)
+                else:
+                    self._move(now, Event.DEADLINE, "the deadline has come")
+            elif self._empty_since is not None and now >= self._empty_since + EMPTY_FOR:
+                self._move(now, Event.EMPTY, "nothing is in hand")
+        elif self.state is State.RESUMING and now >= self._back_at + RAMP:
+            self._move(now, Event.RAMPED, "all is taken again")
+        dues, self._dues = self._dues, []
+        return dues
+
+    def _move(self, now: int, event: Event, why: str) -> None:
+        state = TABLE[self.state, event]
+        if state is not self.state:
+            self.state = state
+            self.history = [*self.history[-63:], Entry(now, state, why)]
+            if state is State.DRAINED:
+                self.deadline = None
--- /dev/null
+++ b/umbermoor/lifecycle/snapshot.py
@@ -0,0 +1,114 @@
+"""What a front remembers over a restart: its form, and what of it may be used. Without I/O but for ``write`` and
+``load``,
+which replace the file in one step and read it whole.
+
+    "UMSNAP" version:u8 length:u32 crc32:u32, then JSON
+"""
+
+import os
+import zlib
+from struct import Struct
+from typing import Any, NamedTuple
+
+import orjson
+
+MAGIC, VERSION = b"UMSNAP", 1
+_HEAD = Struct("<6sBII")
+MOST = 4 << 20
+OLD = 600_000_000  # microseconds after which nothing of it is of use
+SPEEDS_FOR = 120_000_000  # and after which machines may have become others
+
+
+class MachineMemory(NamedTuple):
+    """Of one machine: answer times, work ahead of them, usual silence, failures."""
+
+    machine: str
+    build: int
+    born: int
+    took: float
+    work: float
+    gap: float
+    fails: float
+
+
+class Memory(NamedTuple):
+    at: int  # microseconds since 1970
+    name: str  # of the front
+    fleet: str  # what the settings say, as a sum: of another fleet nothing is taken
+    took: float  # the fleet's usual ones
+    work: float
+    carried: float
+    usual: tuple[float, ...]
+    machines: tuple[MachineMemory, ...]
+
+
+class Unfit(NamedTuple):
+    why: str
+
+
+def pack(memory: Memory) -> bytes:
+    data = orjson.dumps({**memory._asdict(), "machines": [list(one) for one in memory.machines]})
+    return _HEAD.pack(MAGIC, VERSION, len(data), zlib.crc32(data)) + data
+
+
+def unpack(data: bytes) -> Memory | Unfit:
+    if len(data) < _HEAD.size:
+        return Unfit("ends within its head")
+    magic, version, length, checksum = _HEAD.unpack_from(data)
+    if magic != MAGIC:
+        return Unfit("is no snapshot")
+    if version != VERSION:
+        return Unfit(f"is of version {version}; this program reads version {VERSION}")
+    body = data[_HEAD.size:]
+    if len(body) != length or zlib.crc32(body) != checksum:
+        return Unfit("is torn or garbled")
+    try:
+        given: dict[str, Any] = orjson.loads(body)
+        machines = tuple(MachineMemory(*one) for one in given.pop("machines"))
+        memory = Memory(**given, machines=machines)
+        return memory._replace(usual=tuple(map(float, memory.usual)), at=int(memory.at), name=str(memory.name))
+    except (orjson.JSONDecodeError, TypeError, ValueError, KeyError) as error:
+        return Unfit(f"cannot be read: {type(error).__name__}")
+
+
+def fit(memory: Memory, now: int, name: str, fleet: str) -> Unfit | None:
+    """Whether it may be used; what is wrong with it."""
+    if memory.name != name:
+        return Unfit(f"is of front {memory.name!r}")
+    if memory.fleet != fleet:
+        return Unfit("is of a fleet with other settings")
+    if not 0 <= now - memory.at <= OLD:
+        return Unfit(f"is {(now - memory.at) / 1e6:.0f} s old" if now > memory.at else "is of the future")
+    return None
+
+
+def usable(memory: Memory, now: int, listed: dict[str, tuple[int, int]]) -> list[MachineMemory]:
+    """Of the machines, those that are listed now with the same build and start, if it is not too old for that."""
+    if now - memory.at > SPEEDS_FOR:
+        return []
+    return [one for one in memory.machines if listed.get(one.machine) == (one.build, one.born)]
+
+
+def write(path: str, memory: Memory) -> int:
+    """Replaces the file whole: who is killed meanwhile leaves the old one, or the new one. Raises OSError."""
+    data = pack(memory)
+    part = path + ".part"
+    with open(part, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(part, path)
+    return len(data)
+
+
+def load(path: str) -> Memory | Unfit | None:
+    """None where there is none."""
+    try:
+        if os.path.getsize(path) > MOST:
+            return Unfit("is larger than a snapshot can be")
+        with open(path, "rb") as file:
+            return unpack(file.read(MOST))
+    except FileNotFoundError:
+        return None
+    except OSError as error:
+        return Unfit(error.strerror or str(error))
--- /dev/null
+++ b/umbermoor/lifecycle/ways.py
@@ -0,0 +1,99 @@
+"""What operators may ask of a front, and the answers, without I/O: the door on sockets only carries them.
+
+    GET  /status   state, deadline, work in hand, machines, stage
+    GET  /hands    each query in hand: profile, age, machine, time left
+    GET  /metrics  counters in the Prometheus text form
+    GET  /config   what the front runs with
+    POST /drain    {"deadline_s": 30}; POST /resume
+"""
+
+import hmac
+from typing import Any, Callable, Mapping, NamedTuple
+
+import orjson
+
+from umbermoor.http1.reader import Request
+
+TOKEN_LEAST = 16  # characters
+DEADLINE_MOST = 3600.0
+
+
+class Said(NamedTuple):
+    status: int
+    body: bytes
+    kind: str = "application/json"
+
+
+class Ways:
+    """``front`` answers each of the names; ``token`` is asked for where it is not empty."""
+
+    def __init__(self, front: Mapping[str, Callable[..., Any]], token: str = "") -> None:
+        self._front, self._token = front, token
+
+    def answer(self, request: Request) -> Said:
+        if self._token and not self._allowed(request.headers.get("authorization", "")):
+            return _said(401, {"error": "a token is needed: Authorization: Bearer TOKEN"})
+        path = request.target.partition("?")[0]
+        known = {"/status": "GET", "/hands": "GET", "/metrics": "GET", "/config": "GET", "/drain": "POST",
+                 "/resume": "POST"}
+        if path not in known:
+            return _said(404, {"error": f"no such way; there are {', '.join(sorted(known))}"})
+        if request.method != known[path]:
+            return _said(405, {"error": f"{path} is asked with {known[path]}"})
+        if path == "/metrics":
+            return Said(200, self._front["metrics"](), "text/plain; version=0.0.4")
+        if path == "/drain":
+            within = self._deadline(request.body)
+            if isinstance(within, Said):
+                return within
+            return _said(200, {"answer": self._front["drain"](within)})
+        if path == "/resume":
+            return _said(200, {"answer": self._front["resume"]()})
+        return _said(200, self._front[path[1:]]())
+
+    def _allowed(self, given: str) -> bool:
+        """In constant time, whatever was given."""
+        return hmac.compare_digest(given.encode("utf-8", "replace"), f"Bearer {self._token}".encode())
+
+    def _deadline(self, body: bytes) -> int | None | Said:
+        if not body:
+            return None
+        try:
+            given = orjson.loads(body)
+            within = given.get("deadline_s") if isinstance(given, dict) else given
+        except orjson.JSONDecodeError as error:
+            return _said(400, {"error": f"no JSON: {error}"})
+        if within is None and isinstance(given, dict):
+            return None
+        if isinstance(within, bool) or not isinstance(within, int | float) or not 0 <= within <= DEADLINE_MOST:
+            return _said(400, {"error": f"deadline_s: expected seconds from 0 to {DEADLINE_MOST:g}"})
+        return round(within * 1e6)
+
+
+def _said(status: int, given: Any) -> Said:
+    return Said(status, orjson.dumps(given) + b"\n")
+
+
+def metrics_text(rows: list[tuple[str, str, str, dict[str, str], float]]) -> bytes:
+    """Rows of (name, kind, help, labels, value) in the Prometheus text form, by its client library."""
+    from prometheus_client import CollectorRegistry, generate_latest
+    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+    families: dict[str, Any] = {}
+    for name, kind, text, labels, value in rows:
+        made = CounterMetricFamily if kind == "counter" else GaugeMetricFamily
+        family = families.setdefault(name, made(f"umbermoor_{name}", text, labels=list(labels)))
+        family.add_metric(list(labels.values()), value)
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_Rows(list(families.values())))
+    return generate_latest(registry)
+
+
+class _Rows:
+    """What the client library asks for what it writes."""
+
+    def __init__(self, families: list[Any]) -> None:
+        self._families = families
+
+    def collect(self) -> list[Any]:
+        return self._families
--- a/umbermoor/node/clients.py
+++ b/umbermoor/node/clients.py
@@ -4,6 +4,7 @@
 import re
 from collections import deque
 from typing import Callable, Mapping, NamedTuple
+from typing import Protocol as Protocol_
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.protocol import Factory, Protocol
@@ -48,6 +49,15 @@
 Ask = Callable[[Query], "Deferred[Answer]"]  # cancelled when the client leaves
 
 
+class Keeper(Protocol_):
+    """Says what a front may do in its present state; see lifecycle/keeper.py."""
+
+    up: bool
+    closes: bool
+
+    def admits(self, now: int, in_hand: int) -> bool: ...
+
+
 class Clients(Factory):
     noisy = False
 
@@ -56,6 +66,8 @@
         self.reactor, self.clock, self.buffers, self.budget, self.ask = reactor, clock, buffers, budget, ask
         self.profiles, self.repeats = profiles, repeats
         self.up = self.leaving = False
+        self.keeper: Keeper | None = None
+        self.in_hand: Callable[[], int] = lambda: 0
         self.over = 0  # connections beyond the budget
         self.once: dict[Client, None] = {}  # idle since their first answer, the longest first
         self.accept: Callable[[bool], None] = lambda on: None  # whether to accept further ones
@@ -70,6 +82,10 @@
         again are not counted, nor told to close: their next connection would cost more than this one."""
         return len(self.once) > max(ONCE_LEAST, self.budget.most // ONCE_PART)
 
+    def admits(self) -> bool:
+        """Whether a query is taken in the front's present state. One that is not was never begun."""
+        return self.keeper is None or self.keeper.admits(self.clock(), self.in_hand())
+
     def close_stale(self) -> bool:
         """One that has been idle for long. Threat: strangers that stay, at the cost of lines to machines."""
         return self.close_one(STALE)
@@ -100,7 +116,8 @@
     def read(self, request: Request, came: int) -> Query | Answer:
         path = request.target.partition("?")[0]
         if path == "/up" and request.method == "GET":
-            return Answer(200 if self.up and not self.leaving else 503)
+            served = self.up and not self.leaving and (self.keeper is None or self.keeper.up)
+            return Answer(200 if served else 503)
         if path != "/api":
             return Answer(404)
         if request.method not in ("GET", "POST"):
@@ -208,6 +225,9 @@
             if isinstance(found, Answer):
                 self._answer(found, read.keep)
                 continue
+            if not self._clients.admits():
+                self._answer(Answer(503, headers={"Retry-After": "1"}), read.keep)
+                continue
             self._working = working = self._clients.ask(found)
             working.addCallbacks(self._answered, self._faulted, callbackArgs=(read.keep,))
 
@@ -234,7 +254,8 @@
             if self._clients.crowded:
                 keep = False
                 self._clients.close_stale()
-        keep = keep and not self._clients.leaving and not 400 <= answer.status < 500  # who errs connects again
+        keeper = self._clients.keeper
+        keep = keep and not self._clients.leaving and not (keeper is not None and keeper.closes) and not 400 <= answer.status < 500  # who errs connects again
         self.since = self._clients.clock()
         self.transport.write(write_response(answer.status, answer.body, keep, answer.headers))
         if not keep:
--- a/umbermoor/node/discovery.py
+++ b/umbermoor/node/discovery.py
@@ -30,6 +30,7 @@
     whole: bool
     entries: list[Entry]
     addresses: dict[str, Address]
+    speaks: dict[str, str] = {}  # what a machine's entry says that it speaks: h2c, or http/1.1; where it says so
 
 
 def read_list(given: Any, zones: Mapping[str, int]) -> News | None:
@@ -37,7 +38,7 @@
     that a machine which the whole list lacks is gone."""
     if not isinstance(given, dict) or not isinstance(given.get("hosts"), list) or not _whole(given.get("seq")):
         return None
-    entries, addresses, whole = [], {}, given.get("whole") is True
+    entries, addresses, speaks, whole = [], {}, {}, given.get("whole") is True
     for host in given["hosts"]:
         entry = _entry(host, zones) if isinstance(host, dict) else None
         if entry is None:
@@ -47,7 +48,9 @@
         entries.append(entry)
         if address := read_address(str(host.get("dial", ""))):
             addresses[entry.machine] = address
-    return News(given["seq"], whole, entries, addresses)
+        if isinstance(said := host.get("speaks"), str):
+            speaks[entry.machine] = said
+    return News(given["seq"], whole, entries, addresses, speaks)
 
 
 def _whole(value: Any) -> bool:
--- a/umbermoor/node/exchange.py
+++ b/umbermoor/node/exchange.py
@@ -9,7 +9,7 @@
 from umbermoor.facade import (Abandoned, Asked, Complaint, Connected, Denied, Desk, Ended, Go, Heard, Held, Left, Listed, Note,
                               Probe, Probed, Step, Stop, Tell, Vote, Watch)
 from umbermoor.http1.reader import Response
-from umbermoor.interface import Ending, Entry, Listing, News, Readiness
+from umbermoor.interface import NEVER_RAN, Ending, Entry, Listing, News, Readiness
 from umbermoor.logs import note, note_failure
 from umbermoor.node import discovery as lists
 from umbermoor.node.clients import Answer, Query
@@ -30,6 +30,12 @@
     answer: "Deferred[Answer]"
 
 
+class Keeper(Protocol):
+    """Says what a front may do in its present state; see lifecycle/keeper.py."""
+
+    votes: bool
+
+
 class Witness(Protocol):
     def listed(self, whole: bool, entries: list[Entry]) -> None: ...
     def asked(self, asked: Asked) -> None: ...
@@ -46,7 +52,10 @@
         self.platform: Platform | None = None
         self.witness: Witness | None = None  # who notes what is asked and how it ends, if anybody does
         self.watch: Callable[[], None] = lambda: None
+        self.keeper: Keeper | None = None
         self.held: dict[str, _Held] = {}
+        self._giving_up = ""
+        self._ran: set[str] = set()  # queries held of which a hand-off may have run, and has ended
         self._out: dict[tuple[str, int], Deferred] = {}  # hand-offs, by query and number
         self._steps: deque[Step] = deque()
         self._following = False
@@ -86,6 +95,34 @@
                 self.witness.closed(id, 0)
             self.report(Left(id))
 
+    def give_up_all(self) -> None:
+        """Answers at once all that is in hand; nothing of it goes on elsewhere. Denied only where a retry is harmless."""
+        for id in list(self.held):
+            held, self._giving_up = self.held.pop(id), id
+            self.report(Left(id))  # the module hands it off no more
+            for key in [key for key in self._out if key[0] == id]:
+                self._out[key].cancel()
+            harmless = held.query.request.method == "GET" or id not in self._ran
+            self._ran.discard(id)
+            self._giving_up = ""
+            if self.witness is not None:
+                self.witness.closed(id, 503 if harmless else 502)
+            held.answer.callback(Answer(503, headers={"Retry-After": "1"}) if harmless else Answer(502))
+
+    def forget(self) -> None:
+        self._desk.forget()
+
+    def remember(self) -> tuple:
+        return self._desk.remember()
+
+    def recall(self, memory, machines) -> None:
+        self._desk.recall(memory.took, memory.work, memory.carried, memory.usual, machines)
+
+    @property
+    def stage(self) -> tuple | None:
+        """Build, stage, phase and cap as last told."""
+        return self._stage
+
     def _give_up(self, id: str) -> None:
         """After a fault of ours: nothing more for this query, whose client is told that it failed."""
         self._answer(id, Answer(500))
@@ -103,7 +140,7 @@
             self.witness.listed(whole, news.entries)
         self._machines.listed(whole, {
             entry.machine: (news.addresses[entry.machine], entry.readiness is Readiness.READY)
-            if entry.readiness and entry.machine in news.addresses else None for entry in news.entries})
+            if entry.readiness and entry.machine in news.addresses else None for entry in news.entries}, news.speaks)
         if news.entries or whole:
             note(log, "list", kind=kind.name.lower(), version=news.version,
                  entries=" ".join(f"{one.machine}:{one.build}:{one.readiness.name.lower()}" for one in news.entries))
@@ -184,11 +221,15 @@
         how = ending(outcome)
         if self.witness is not None:
             self.witness.ended(step.query, step.machine, how, self._clock() - sent)
+        if how is not Ending.OK and how not in NEVER_RAN:
+            self._ran.add(step.query)
         if how is Ending.OK and isinstance(outcome, Response):
             self._answer(step.query, Answer(200, outcome.body))
         elif how in (Ending.CONNECT_FAILED, Ending.RESET):
             self._note_loss(step.machine, how)
         self.report(Ended(step.query, step.number, step.machine, how, self._clock() - sent))
+        if step.query not in self.held and step.query != self._giving_up:
+            self._ran.discard(step.query)
 
     def _note_loss(self, machine: str, how: Ending) -> None:
         if self._clock() > self._lost.get(machine, 0) + LOST_EVERY:
@@ -218,6 +259,8 @@
             held.answer.callback(answer)
 
     def _vote(self, step: Vote) -> None:
+        if self.keeper is not None and not self.keeper.votes:
+            return  # the module asks again once it has waited for the answer
         note(log, "vote", build=step.build, stage=step.stage, verdict=step.verdict.name.lower())
         self.platform.vote(step).addCallback(self._voted).addErrback(
             lambda failure: note_failure(log, "fault in a vote", failure))
--- a/umbermoor/node/machines.py
+++ b/umbermoor/node/machines.py
@@ -26,7 +26,7 @@
 class Carrier(Protocol):
     """Another way to machines than a line for each hand-off; see streams.py."""
 
-    def listed(self, machine: str, address: tuple[str, int] | None, ready: bool) -> None: ...
+    def listed(self, machine: str, address: tuple[str, int] | None, ready: bool, speaks: str) -> None: ...
     def speaks(self, machine: str) -> bool: ...
     def hand_off(self, machine: str, address: tuple[str, int], method: str, target: str, headers: Mapping[str, str],
                  body: bytes, limit: int, may_go: Callable[[], bool],
@@ -42,14 +42,15 @@
         self._places: dict[str, _Place] = {}
         self.carrier: Carrier | None = None
 
-    def listed(self, whole: bool, places: Mapping[str, tuple[tuple[str, int], bool] | None]) -> None:
+    def listed(self, whole: bool, places: Mapping[str, tuple[tuple[str, int], bool] | None],
+               speaks: Mapping[str, str] = {}) -> None:
         """Where machines listen and whether they are ready; none: gone."""
         gone = [id for id in self._places if id not in places] if whole else []
         if self.carrier is not None:
             for id in gone:
-                self.carrier.listed(id, None, False)
+                self.carrier.listed(id, None, False, "")
             for id, given in places.items():
-                self.carrier.listed(id, *(given or (None, False)))
+                self.carrier.listed(id, *(given or (None, False)), speaks.get(id, ""))
         for id in [*gone, *(id for id, place in places.items() if place is None)]:
             if place := self._places.pop(id, None):
                 self._hang_up(place)
--- /dev/null
+++ b/umbermoor/node/operations.py
@@ -0,0 +1,207 @@
+"""The operators' side of a front: its keeper and its door, what it remembers, and its background work, wired to the sockets."""
+
+import logging
+import time
+from collections import Counter
+from hashlib import blake2b
+from typing import Any
+
+from umbermoor.facade import Asked
+from umbermoor.house import House
+from umbermoor.interface import Ending, Entry
+from umbermoor.lifecycle.keeper import SECOND, Due, Keeper
+from umbermoor.lifecycle.scheduler import Scheduler
+from umbermoor.lifecycle.snapshot import MachineMemory, Memory, Unfit, fit, load, usable, write
+from umbermoor.lifecycle.ways import Ways, metrics_text
+from umbermoor.logs import note
+from umbermoor.node.door import Closed, Door, read_token
+from umbermoor.station import Station
+
+log = logging.getLogger(__name__)
+
+PRESSED = 0.8  # of the room for queries: background work waits from there on
+STATUSES = {0: "left", 200: "done", 429: "denied", 503: "denied", 502: "abandoned"}
+
+
+class Operations:
+    """It is a witness of the exchange, too: it counts."""
+
+    def __init__(self, reactor, clock, station: Station, house: House, buffers, exchange, clients, machines) -> None:
+        self._reactor, self._clock, self._station, self._house = reactor, clock, station, house
+        self._exchange, self._clients, self._machines = exchange, clients, machines
+        self._room = max(8, (station.sockets - 32) // 3)
+        self.keeper = exchange.keeper = clients.keeper = Keeper(clock(), self._room)
+        self._names = sorted(station.profiles, key=station.profiles.__getitem__)
+        self._open: dict[str, tuple[int, int, int]] = {}  # query: profile, came, due
+        self._counts: Counter[tuple[str, str]] = Counter()
+        self._listed: dict[str, tuple[int, int]] = {}
+        self._timer = self._work_timer = None
+        self._scheduler = Scheduler(clock, told=lambda task, what: note(
+            log, "background work", logging.WARNING, task=task.name, what=what))
+        self._door = self._where = None
+        if house.door is not None:
+            token = read_token(house.door.token) if house.door.token else ""
+            self._door = Door(reactor, buffers, Ways({
+                "status": self.status, "hands": self.hands, "config": self.config, "metrics": self.metrics,
+                "drain": self.drain, "resume": self.resume}, token))
+
+    def start(self) -> None:
+        if self._door is not None:
+            try:
+                self._where = self._door.listen(self._house.door.where)
+                note(log, "door", where=self._where)
+            except Closed as fault:
+                note(log, "the door stays shut", logging.ERROR, why=fault)
+        if self._house.remember is not None:
+            self._recall(self._house.remember.path)
+            self._scheduler.add("snapshot", 1, self._snapshot, every=round(self._house.remember.every_s * SECOND),
+                                after=round(self._house.remember.every_s * SECOND))
+        self._look()
+        self._work()
+
+    def stop(self) -> None:
+        for timer in (self._timer, self._work_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
+        if self._door is not None:
+            self._door.stop()
+        if self._house.remember is not None:
+            for _ in self._snapshot():
+                pass
+
+    # What operators ask.
+
+    def drain(self, within: int | None) -> str:
+        said = self.keeper.drain(self._clock(), within)
+        note(log, "drain asked", answer=said, in_hand=len(self._exchange.held))
+        self._look()
+        return said
+
+    def resume(self) -> str:
+        said = self.keeper.resume(self._clock())
+        note(log, "resume asked", answer=said)
+        self._look()
+        return said
+
+    def ready(self) -> None:
+        self.keeper.ready(self._clock())
+
+    def leave(self) -> None:
+        self.keeper.leave(self._clock())
+
+    def status(self) -> dict[str, Any]:
+        now, keeper = self._clock(), self.keeper
+        ages: dict[int, list[int]] = {}
+        for profile, came, _ in self._open.values():
+            ages.setdefault(profile, []).append(now - came)
+        return {
+            "name": self._station.name, "state": keeper.state.value, "up": self._clients.up and keeper.up,
+            "deadline_s": None if keeper.deadline is None else round((keeper.deadline - now) / SECOND, 3),
+            "in_hand": len(self._exchange.held), "clients": len(self._clients.open), "machines": len(self._listed),
+            "stage": str(self._exchange.stage), "takes_at_once": keeper.most(now),
+            "profiles": {name: {"in_hand": len(ages.get(at, ())), "oldest_ms": round(max(ages.get(at, (0,))) / 1000, 1)}
+                         for at, name in enumerate(self._names)},
+            "history": [[round((now - one.at) / SECOND, 1), one.state.value, one.why] for one in keeper.history]}
+
+    def hands(self) -> list[dict[str, Any]]:
+        now = self._clock()
+        return [{"query": query, "profile": self._names[profile], "age_ms": round((now - came) / 1000, 1),
+                 "left_ms": round((due - now) / 1000, 1)} for query, (profile, came, due) in self._open.items()]
+
+    def config(self) -> dict[str, Any]:
+        station = self._station
+        return {"name": station.name, "listen": "{}:{}".format(*station.listen), "sockets": station.sockets,
+                "memory_mb": station.memory >> 20, "profiles": self._names, "fronts": station.charter.fronts,
+                "fleet": self._fleet()}
+
+    def metrics(self) -> bytes:
+        rows = [("answers_total", "counter", "Answers by profile and kind.", {"profile": profile, "kind": kind}, count)
+                for (profile, kind), count in sorted(self._counts.items())]
+        rows += [("in_hand", "gauge", "Queries in hand.", {}, len(self._exchange.held)),
+                 ("clients", "gauge", "Clients' connections.", {}, len(self._clients.open)),
+                 ("machines", "gauge", "Machines listed.", {}, len(self._listed)),
+                 ("state", "gauge", "1 for the state that the front is in.", {"state": self.keeper.state.value}, 1)]
+        rows += [("background_longest_us", "gauge", "The longest slice of background work.", {"task": one.name}, one.longest)
+                 for one in self._scheduler.tasks]
+        return metrics_text(rows)
+
+    # A witness.
+
+    def listed(self, whole: bool, entries: list[Entry]) -> None:
+        if whole:
+            self._listed.clear()
+        for one in entries:
+            if one.readiness:
+                self._listed[one.machine] = one.build, one.born
+            else:
+                self._listed.pop(one.machine, None)
+
+    def asked(self, asked: Asked) -> None:
+        self._open[asked.query] = asked.profile, self._clock(), asked.due
+
+    def handed(self, query: str, machine: str) -> None:
+        """Counted when it ends."""
+
+    def ended(self, query: str, machine: str, ending: Ending, took: int) -> None:
+        """The exchange tells the module; nothing is kept of it here."""
+
+    def closed(self, query: str, status: int) -> None:
+        if (one := self._open.pop(query, None)) is not None:
+            self._counts[self._names[one[0]], STATUSES.get(status, "failed")] += 1
+
+    # Time.
+
+    def _look(self) -> None:
+        """What the keeper wants done; again when it says."""
+        now = self._clock()
+        for due in self.keeper.tick(now, len(self._exchange.held)):
+            if due is Due.CLOSE_IDLE:
+                self._clients.close_idle()
+            elif due is Due.GIVE_UP:
+                note(log, "deadline", given_up=len(self._exchange.held))
+                self._exchange.give_up_all()
+            elif due is Due.FORGET:
+                self._exchange.forget()
+        at = self.keeper.next_at(now)
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+        if at is not None:
+            self._timer = self._reactor.callLater(max(0.005, min(0.05, (at - now) / SECOND)), self._look)
+
+    def _work(self) -> None:
+        self._scheduler.run(len(self._exchange.held) > PRESSED * self._room)
+        at = self._scheduler.next_at()
+        wait = 1.0 if at is None else max(0.005, min(1.0, (at - self._clock()) / SECOND))
+        self._work_timer = self._reactor.callLater(wait, self._work)
+
+    # Memory.
+
+    def _fleet(self) -> str:
+        return blake2b(repr((self._station.charter._replace(seed=0, me=0), self._names)).encode(), digest_size=8).hexdigest()
+
+    def _snapshot(self):
+        took, work, carried, usual, rows = self._exchange.remember()
+        machines = []
+        for at, row in enumerate(rows):
+            machines.append(MachineMemory(*row))
+            if at % 200 == 199:
+                yield 0
+        memory = Memory(time.time_ns() // 1000, self._station.name, self._fleet(), took, work, carried, usual, tuple(machines))
+        try:
+            yield write(self._house.remember.path, memory)
+        except OSError as error:
+            note(log, "snapshot not written", logging.WARNING, why=error.strerror)
+
+    def _recall(self, path: str) -> None:
+        memory = load(path)
+        now = time.time_ns() // 1000
+        if memory is None:
+            return
+        wrong = memory if isinstance(memory, Unfit) else fit(memory, now, self._station.name, self._fleet())
+        if wrong is not None:
+            note(log, "snapshot not used", logging.WARNING, path=path, why=wrong.why)
+            return
+        machines = usable(memory, now, self._listed)
+        self._exchange.recall(memory, machines)
+        note(log, "snapshot used", age_s=round((now - memory.at) / 1e6, 1), machines=len(machines))
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -44,6 +44,19 @@
         return (self._offset + time.monotonic_ns()) // 1000
 
 
+class Both:
+    """Two witnesses of the exchange."""
+
+    def __init__(self, *witnesses) -> None:
+        self._witnesses = witnesses
+
+    def __getattr__(self, name: str):
+        def tell(*words) -> None:
+            for one in self._witnesses:
+                getattr(one, name)(*words)
+        return tell
+
+
 class Service:
     def __init__(self, reactor, station: Station, clock: Clock, house=None) -> None:
         self._reactor, self._station = reactor, station
@@ -63,12 +76,18 @@
         if house is not None and house.http2 is not None:
             from umbermoor.node.streams import Streams  # only here, as captures
             streams = self._machines.carrier = Streams(reactor, clock, buffers, budget, station.connect_within,
-                                                       station.service)
+                                                       station.service, house.http2.machines == "listed")
             budget.spare.insert(1, streams.close_one)
         self._capture = None
         if house is not None and house.capture is not None:
             from umbermoor.node.capturing import Capturing  # only here: it is no part of a front that has none
             self._capture = exchange.witness = Capturing(reactor, clock, station, house.capture)
+        self._operations = None
+        if house is not None and (house.door is not None or house.remember is not None):
+            from umbermoor.node.operations import Operations  # only here, as captures
+            self._operations = Operations(reactor, clock, station, house, buffers, exchange, self._clients, self._machines)
+            self._clients.in_hand = lambda: len(exchange.held)
+            exchange.witness = self._operations if exchange.witness is None else Both(exchange.witness, self._operations)
         self._heard: set[str] = set()
         self._port = None
         self._drop_at = 0.0
@@ -90,6 +109,8 @@
             note(log, "the platform's news at the start cannot be read", logging.WARNING)
         if news:
             self._exchange.told(news)
+        if self._operations is not None:
+            self._operations.start()
         self._discovery.start()
         self._platform.start()
         host, port = station.listen
@@ -122,6 +143,8 @@
     def _go_up(self) -> None:
         if not self._clients.up:
             self._clients.up = True
+            if self._operations is not None:
+                self._operations.ready()
             note(log, "up", heard=" ".join(sorted(self._heard)))
 
     def reload(self, read: Callable[[], Station]) -> None:
@@ -153,6 +176,8 @@
         if not self._clients.leaving:
             note(log, "drain", queries=len(self._exchange.held), clients=len(self._clients.open))
             self._clients.leaving = True
+            if self._operations is not None:
+                self._operations.leave()
             self._reactor.callLater(LISTEN_ON, self._stop_listening)
 
     def _stop_listening(self) -> None:
@@ -180,6 +205,8 @@
         self._machines.close()
         if self._capture is not None:
             self._capture.stop()
+        if self._operations is not None:
+            self._operations.stop()
         self._reactor.callLater(0, self._reactor.stop)
 
 
--- a/umbermoor/node/streams.py
+++ b/umbermoor/node/streams.py
@@ -150,11 +150,13 @@
 
 class Streams:
     def __init__(self, reactor, clock: Callable[[], int], buffers: Buffers, budget: Budget, connect_within: int,
-                 host: str) -> None:
+                 host: str, only_listed: bool = False) -> None:
+        self._only_listed = only_listed
         self.reactor, self.clock, self.buffers, self._budget, self._host = reactor, clock, buffers, budget, host
         self._connect_within = connect_within
         self._lots: dict[str, Lot] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
+        self._said: dict[str, str] = {}
         self._lines: dict[Link, StreamLine] = {}
         self._waiting: dict[str, list[_Attempt]] = {}  # for a first connection
         self._attempts: dict[Call, _Attempt] = {}
@@ -163,13 +165,15 @@
 
     # The list.
 
-    def listed(self, machine: str, address: tuple[str, int] | None, ready: bool) -> None:
-        """Where it is; none: gone. Streams that are out go on to their ends."""
+    def listed(self, machine: str, address: tuple[str, int] | None, ready: bool, speaks: str) -> None:
+        """Where it is; none: gone. Streams that are out go on to their ends. ``speaks``: what its entry says."""
         if address is None or self._addresses.get(machine, address) != address or not ready:
             self._retire(machine)
         if address is None:
             self._addresses.pop(machine, None)
+            self._said.pop(machine, None)
         else:
+            self._said[machine] = speaks
             self._addresses[machine] = address
 
     def _retire(self, machine: str) -> None:
@@ -180,7 +184,9 @@
 
     def speaks(self, machine: str) -> bool:
         """Whether it is to be asked in HTTP/2 now."""
-        lot = self._lots.get(machine)
+        said, lot = self._said.get(machine, ""), self._lots.get(machine)
+        if said == "http/1.1" or said != "h2c" and self._only_listed:
+            return False
         return lot is None or lot.speaks(self.clock())
 
     # Hand-offs.
--- a/umbermoor/planner/check.py
+++ b/umbermoor/planner/check.py
@@ -58,9 +58,11 @@
         players.close()
     edge: Edge | None = found.get("load")
     if edge is None or not edge.mid:
-        return [Row("load at which the goal breaks", 0.0, None, True, "the goal cannot be held by any number of machines")]
+        return [Row("load at which the goal breaks", 0.0, None, True,
+                    "the goal cannot be held by any number of machines")]
     told(f"predicted: the goal breaks at {edge.mid:.1f} queries/s")
-    questions: dict[str, Question] = {f"load {part:g}": Question("steady", edge.mid * part, fleet.machines, 1) for part in AT}
+    questions: dict[str, Question] = {f"load {part:g}": Question("steady", edge.mid * part, fleet.machines, 1)
+                                      for part in AT}
     count = found[f"machines {growth}"].high
     if count is not None:
         load = planner.now * float(growth)
@@ -125,7 +127,8 @@
     fewer, more = (_worst(outcomes[name], planner) >= 0 for name in ("fewer", "more"))
     words = (f"{questions['fewer'].machines} {'held' if fewer else 'did not hold'}, {questions['more'].machines} "
              f"{'held' if more else 'did not hold'}")
-    measured = count if more and not fewer else float(questions["fewer"].machines if fewer else questions["more"].machines)
+    measured = count if more and not fewer else float(questions["fewer"].machines
+                                                      if fewer else questions["more"].machines)
     return Row(f"machines for {growth} times the load", count, measured, more and not fewer, words)
 
 
--- a/umbermoor/planner/command.py
+++ b/umbermoor/planner/command.py
@@ -102,7 +102,8 @@
     work = {one.name: one.work_ms for one in fleet.profile if one.work_ms is not None}
     warm = micros(max(one.warm_s for one in fleet.group))
     try:
-        demand = fit(capture.header.profiles, capture.rows, fleet.front.count, fleet.workers, warm, not given["--unmarked"],
+        demand = fit(capture.header.profiles, capture.rows, fleet.front.count, fleet.workers, warm,
+                     not given["--unmarked"],
                      work)
     except ValueError as error:
         raise Refused(f"{given['CAPTURE']}: {error}") from None
--- a/umbermoor/planner/fit.py
+++ b/umbermoor/planner/fit.py
@@ -1,7 +1,8 @@
 """What a capture tells of the demand: load, bursts, work, retries; each with an interval, and what it cannot tell.
 
 Without I/O. The work of a query is told apart from its wait: of the answers of machines that held nothing else of this
-front's, and that were neither cold nor sick, the wait behind other fronts' queries is taken off by Erlang's formula, with
+front's, and that were neither cold nor sick, the wait behind other fronts' queries is taken off by Erlang's formula,
+with
 the load that the work itself comes to (a fixed point).
 """
 
@@ -66,7 +67,8 @@
 def fit(header_profiles: Sequence[dict[str, Any]], rows: list[Row], fronts: int, fleet_workers: int, warm: int,
         marked: bool = True, given_work: dict[str, float] | None = None) -> Demand:
     """The demand of the whole fleet, from one front's rows of ``fronts`` that are asked alike. ``warm`` is the time in
-    microseconds within which a machine counts as cold; ``given_work`` what the fleet's sheet says of the work, in ms."""
+    microseconds within which a machine counts as cold; ``given_work`` what the fleet's sheet says of the work, in
+    ms."""
     given_work = given_work or {}
     assumptions: list[str] = []
     if not rows:
@@ -104,7 +106,8 @@
                            f"what was denied is counted once, as asked")
     if load_rows <= 0:
         raise ValueError("the capture holds no load")
-    return Demand(tuple(profiles), seconds, len(rows), _peak(fresh, first, last), _burstiness(fresh, first, last, chance),
+    return Demand(tuple(profiles), seconds, len(rows), _peak(fresh, first, last),
+                  _burstiness(fresh, first, last, chance),
                   share_interval(sum(row.repeated for row in rows), len(rows)), share_interval(denied, len(rows)),
                   tuple(sorted(sick)), len(rows) - len(warm_rows), tuple(assumptions), fronts)
 
--- a/umbermoor/planner/limits.py
+++ b/umbermoor/planner/limits.py
@@ -1,6 +1,7 @@
 """Every limit of a fleet as a row: what it holds, and the load at which it is reached; in closed form, without I/O.
 
-These rows bracket what is then played out in virtual time (``search``), and stand for the limits that a short play cannot
+These rows bracket what is then played out in virtual time (``search``), and stand for the limits that a short play
+cannot
 reach. All loads are queries asked anew in a second, by the whole fleet, in the capture's mix.
 """
 
@@ -38,7 +39,8 @@
     """Mean work in seconds of a query of the mix, and its coefficient of variation."""
     total = demand.rate.mid or 1.0
     mean = sum(one.rate.mid * one.work_ms.mid for one in demand.profiles) / total / 1000
-    square = sum(one.rate.mid * (one.work_ms.mid / 1000) ** 2 * (1 + one.work_cv ** 2) for one in demand.profiles) / total
+    square = sum(one.rate.mid * (one.work_ms.mid / 1000) ** 2 * (1 + one.work_cv ** 2) for one
+                 in demand.profiles) / total
     return mean, sqrt(max(0.0, square / mean ** 2 - 1))
 
 
@@ -231,7 +233,8 @@
 
 
 def _guarded(demand: Demand, fleet: Fleet) -> Limit:
-    """The cap on the trial, by its machines' share: hand-offs that it may have for those that its machines could take."""
+    """The cap on the trial, by its machines' share: hand-offs that it may have for those that its machines could
+    take."""
     first = fleet.platform.stages[0]
     machines = max(1, round(first * fleet.machines)) / (fleet.machines + max(1, round(first * fleet.machines)))
     cap = min(1.0, first * fleet.platform.slack)
--- a/umbermoor/planner/plan.py
+++ b/umbermoor/planner/plan.py
@@ -1,4 +1,5 @@
-"""The plan: limits in closed form, and searches over plays where these only bracket. Without I/O: plays are asked for."""
+"""The plan: limits in closed form, and searches over plays where these only bracket. Without I/O: plays are asked
+for."""
 
 from typing import Any, Callable
 
@@ -65,7 +66,8 @@
     def _machines(self, growth: float) -> Search:
         load = self.now * growth
         per = self.fleet.machines
-        return fewest_machines(int(0.9 * per * load / max(self.high, 1e-9)), int(1.1 * per * load / max(self.low, 1e-9)) + 1,
+        return fewest_machines(int(0.9 * per * load / max(self.high, 1e-9)),
+                               int(1.1 * per * load / max(self.low, 1e-9)) + 1,
                                lambda count: self._seeded(Question("steady", load, count, 1)), self._holds,
                                per * MACHINES_MOST)
 
@@ -116,8 +118,10 @@
         rows = self._rows(found)
         always = [row["limit"] for row in rows if "reached_at" in row and not row["case"]]
         return {
-            "fleet": fleet.name, "partial": partial, "load_now": _interval(demand.rate), "goals": dict(zip(names, self.goals)),
-            "demand": {one.name: {"rate": _interval(one.rate), "work_ms": _interval(one.work_ms), "work_cv": one.work_cv,
+            "fleet": fleet.name, "partial": partial, "load_now": _interval(demand.rate),
+            "goals": dict(zip(names, self.goals)),
+            "demand": {one.name: {"rate": _interval(one.rate), "work_ms": _interval(one.work_ms),
+                                  "work_cv": one.work_cv,
                                   "hint_cv": one.hint_cv} for one in demand.profiles},
             "burstiness": _interval(demand.burstiness), "peak": demand.peak, "retries": _interval(demand.retry_share),
             "assumptions": [*demand.assumptions, *self._assumptions()],
@@ -141,7 +145,8 @@
             "plays": {"searches": plays, "plain_scan": scan, "seeds": self.seeds, "step": STEP}}
 
     def _rows(self, found: dict[str, Any]) -> list[dict[str, Any]]:
-        """The limits in the order in which load reaches them; those that the plays decided stand with what they found."""
+        """The limits in the order in which load reaches them; those that the plays decided stand with what they
+        found."""
         rows = []
         for one in self.rows:
             if one.below:
@@ -150,7 +155,8 @@
             edge = found.get({"target time": "load", "retry amplification": "burst"}.get(one.name, ""))
             if isinstance(edge, Edge):
                 reached, by = self._widened(edge), "plays"
-            rows.append({"limit": one.name, "reached_at": _interval(reached), "times_now": _round(reached.mid / self.now),
+            rows.append({"limit": one.name, "reached_at": _interval(reached),
+                         "times_now": _round(reached.mid / self.now),
                          "by": by, "case": one.case, "why": one.why})
         rows.sort(key=lambda row: (row["reached_at"][0] is None, row["reached_at"][0] or 0.0, row["limit"]))
         return rows + [{"limit": one.name, "reached_below": _interval(one.reached), "by": "closed form", "why": one.why}
--- a/umbermoor/planner/questions.py
+++ b/umbermoor/planner/questions.py
@@ -69,7 +69,8 @@
         troubles = (Trouble(kind="replace", at_s=SETTLE, for_s=length - SETTLE - 4),)
     elif question.kind == "build":
         build = fleet.build[int(question.what)]
-        length = max(length, (fleet.platform.least_stage_s + fleet.platform.boot_s + 3) * len(fleet.platform.stages) + 8)
+        length = max(length, (fleet.platform.least_stage_s + fleet.platform.boot_s + 3) * len(fleet.platform.stages)
+                     + 8)
         builds = (structs.replace(build, at_s=SETTLE),)
     elif question.kind == "burst":
         length = SETTLE + 6 + BURST_FOR + DRAINED + 6
@@ -92,7 +93,8 @@
 
 def replayed(day: Day, demand: Demand, arrivals: list[tuple[int, int]]) -> Iterator[Wish] | None:
     """The capture's own arrivals (time and profile), at the day's rate: their bursts stay as they were, and each seed
-    begins elsewhere in them. None where the capture is shorter than the play needs, or the day has bursts of its own."""
+    begins elsewhere in them. None where the capture is shorter than the play needs, or the day has bursts of its
+    own."""
     if day.load.burst or not arrivals or len(arrivals) * demand.fronts < LEAST_PART * day.load.rate * day.length_s:
         return None
     chance = Chance(day.seed)
--- a/umbermoor/planner/search.py
+++ b/umbermoor/planner/search.py
@@ -127,7 +127,8 @@
 
 
 def falling(points: Sequence[tuple[float, float, float]]) -> list[tuple[float, float]]:
-    """A curve that never rises, nearest to the points of (place, value, weight): pool adjacent violators (Ayer 1955)."""
+    """A curve that never rises, nearest to the points of (place, value, weight): pool adjacent violators (Ayer
+    1955)."""
     blocks: list[list[float]] = []  # value, weight, first place, last place
     for place, value, weight in sorted(points):
         blocks.append([value, weight, place, place])
--- a/umbermoor/planner/sheets.py
+++ b/umbermoor/planner/sheets.py
@@ -1,10 +1,12 @@
-"""The fleet that a plan is for, as a KDL sheet gives it: the laboratory's words for machines and fronts, and the goal."""
+"""The fleet that a plan is for, as a KDL sheet gives it: the laboratory's words for machines and fronts, and the
+goal."""
 
 from typing import Annotated
 
 from msgspec import Meta
 
-from umbermoor.lab.day import (Above0, Build, Clients, Cold, Count, Fronts, Group, Least0, Listing, Network, Platform, Share,
+from umbermoor.lab.day import (Above0, Build, Clients, Cold, Count, Fronts, Group, Least0, Listing, Network, Platform,
+                               Share,
                                Word)
 from umbermoor.sheet import Misread, Record, read_sheet
 
@@ -48,7 +50,8 @@
     tries: Count = 5
 
     def fault(self) -> str | None:
-        for what, names in (("group", [one.name for one in self.group]), ("profile", [one.name for one in self.profile])):
+        for what, names in (("group", [one.name for one in self.group]),
+                            ("profile", [one.name for one in self.profile])):
             if twice := next((one for one in names if names.count(one) > 1), None):
                 return f"expected one {what} {twice!r}, not two"
         if len(self.growth) != len(set(self.growth)):
