--- /dev/null
+++ b/benchmarks/subsets.py
@@ -0,0 +1,44 @@
+"""Balance and churn of subsets of machines for fronts: rendezvous, ring, rounds.
+
+Usage: python -m benchmarks.subsets [--json FILE]
+"""
+
+import sys
+import time
+from collections import Counter
+
+from benchmarks.common import show
+from umbermoor.membership.subsets import Ring, rendezvous, rounds
+
+SIZES = ((2, 10), (10, 100), (100, 100), (100, 1_000), (300, 1_000), (1_000, 1_000), (100, 10_000))
+SUBSET = 20
+
+
+def ways(machines: list[str]):
+    ring = Ring(machines)
+    return {"rendezvous": lambda front: rendezvous(f"f{front}", machines, SUBSET),
+            "ring": lambda front: ring.of(f"f{front}", SUBSET), "rounds": lambda front: rounds(front, machines, SUBSET)}
+
+
+def main(words: list[str]) -> int:
+    rows = []
+    for fronts, count in SIZES:
+        machines = [f"m{at}" for at in range(count)]
+        for name, way in ways(machines).items():
+            started = time.perf_counter()
+            before = [way(front) for front in range(fronts)]
+            took = (time.perf_counter() - started) / fronts
+            less = ways(machines[1:])[name]
+            after = [less(front) for front in range(min(fronts, 20))]
+            loads = Counter(one for some in before for one in some)
+            mean = sum(loads.values()) / count
+            moved = sum(len(set(new) - set(old)) for old, new in zip(before, after)) / len(after)
+            rows.append({"fronts": fronts, "machines": count, "way": name, "most over mean": max(loads.values()) / mean,
+                         "machines without a front": count - len(loads), "moved a front when one goes": moved,
+                         "ms a front": took * 1000})
+    show(f"Subsets of {SUBSET}", rows, words[words.index("--json") + 1] if "--json" in words else None)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/umbermoor/house.py
+++ b/umbermoor/house.py
@@ -46,12 +46,56 @@
     every_s: Annotated[float, Meta(ge=0.1, le=3600)] = 10
 
 
+Server = Annotated[str, Meta(pattern=r"^127\.\d+\.\d+\.\d+:\d{1,5}$")]
+
+
+class SrvFrom(Record, frozen=True, kw_only=True):
+    """Machines as a service's SRV records name them."""
+
+    PLACES = ("name",)
+    name: Annotated[str, Meta(min_length=2, max_length=253)]
+    servers: Annotated[tuple[Server, ...], Meta(min_length=1)]
+    called: str = "srv"
+    authoritative: bool = True
+
+
+class FileFrom(Record, frozen=True, kw_only=True):
+    """Machines as a sheet names them, read again when it changes."""
+
+    PLACES = ("path",)
+    path: Path
+    called: str = "file"
+    authoritative: bool = True
+
+
+class MembersFrom(Record, frozen=True, kw_only=True):
+    rule: Literal["first", "any", "all", "quorum", "split"] = "first"
+    order: tuple[str, ...] = ()  # of sources; "list" is the platform's. As they stand here, otherwise
+    quorum: Annotated[int, Meta(ge=1)] = 2
+    existence: str = ""
+    facts: str = ""
+    keep_s: Annotated[float, Meta(ge=1)] = 3600  # how old the last good set of a failing source may be
+    state: str = ""  # where the last list is kept, if anywhere
+    srv: tuple[SrvFrom, ...] = ()
+    file: tuple[FileFrom, ...] = ()
+
+    def fault(self) -> str | None:
+        names = ["list", *(one.called for one in self.srv), *(one.called for one in self.file)]
+        if len(set(names)) < len(names):
+            return f"expected sources with names of their own, not {', '.join(names)}"
+        strange = next((one for one in (*self.order, self.existence, self.facts) if one and one not in names), None)
+        if strange:
+            return f"expected one of {', '.join(names)}, not {strange!r}"
+        return "expected existence= with rule \"split\"" if self.rule == "split" and not self.existence else None
+
+
 class House(Record, frozen=True, kw_only=True):
     logs: Logs = Logs()
     capture: CaptureTo | None = None
     http2: Http2 | None = None
     door: DoorAt | None = None
     remember: Remember | None = None
+    members: MembersFrom | None = None
 
 
 def read_house(path: str) -> House:
--- a/umbermoor/lifecycle/command.py
+++ b/umbermoor/lifecycle/command.py
@@ -5,6 +5,7 @@
   umbermoor ctl WHERE drain [--deadline S] [--wait] [--token FILE]
   umbermoor ctl WHERE resume [--token FILE]
   umbermoor ctl WHERE (hands | config | metrics) [--token FILE]
+  umbermoor ctl WHERE members [--token FILE]
   umbermoor ctl WHERE watch [--seconds N] [--record FILE] [--token FILE]
   umbermoor ctl replay FILE
   umbermoor ctl (-h | --help)
@@ -14,6 +15,7 @@
   drain    answers what is in hand and takes nothing more; --wait until it is done
   resume   back into service
   hands    each query in hand
+  members  who said what of the machines when, what was concluded, and why
   watch    the same as a view that goes on; --record keeps it, replay shows it again
 
 Options:
@@ -95,13 +97,15 @@
     elif given["resume"]:
         status, said = ask(where, "POST", "/resume", None, token)
     else:
-        name = next(one for one in ("status", "hands", "config", "metrics") if given[one])
+        name = next(one for one in ("status", "hands", "config", "metrics", "members") if given[one])
         status, said = ask(where, "GET", f"/{name}", None, token)
     if status != 200:
         print(f"umbermoor: {status}: {said.decode(errors='replace').strip()}", file=sys.stderr)
         return 1
     if given["status"] and not given["--json"]:
         print(told(orjson.loads(said)))
+    elif given["members"]:
+        print("\n".join(orjson.loads(said)))
     else:
         print(said.decode().strip())
     return _until_drained(where, token) if given["--wait"] else 0
--- a/umbermoor/lifecycle/snapshot.py
+++ b/umbermoor/lifecycle/snapshot.py
@@ -5,15 +5,13 @@
     "UMSNAP" version:u8 length:u32 crc32:u32, then JSON
 """
 
-import os
-import zlib
-from struct import Struct
 from typing import Any, NamedTuple
 
 import orjson
 
+from umbermoor.keeping import Unfit, read_file, replace_file, sealed, unsealed
+
 MAGIC, VERSION = b"UMSNAP", 1
-_HEAD = Struct("<6sBII")
 MOST = 4 << 20
 OLD = 600_000_000  # microseconds after which nothing of it is of use
 SPEEDS_FOR = 120_000_000  # and after which machines may have become others
@@ -42,26 +40,15 @@
     machines: tuple[MachineMemory, ...]
 
 
-class Unfit(NamedTuple):
-    why: str
-
-
 def pack(memory: Memory) -> bytes:
-    data = orjson.dumps({**memory._asdict(), "machines": [list(one) for one in memory.machines]})
-    return _HEAD.pack(MAGIC, VERSION, len(data), zlib.crc32(data)) + data
+    return sealed(MAGIC, VERSION, orjson.dumps({**memory._asdict(), "machines": [list(one) for one in memory.machines]}))
 
 
 def unpack(data: bytes) -> Memory | Unfit:
-    if len(data) < _HEAD.size:
-        return Unfit("ends within its head")
-    magic, version, length, checksum = _HEAD.unpack_from(data)
-    if magic != MAGIC:
-        return Unfit("is no snapshot")
-    if version != VERSION:
-        return Unfit(f"is of version {version}; this program reads version {VERSION}")
-    body = data[_HEAD.size:]
-    if len(body) != length or zlib.crc32(body) != checksum:
-        return Unfit("is torn or garbled")
+    opened = unsealed(MAGIC, (VERSION,), data)
+    if isinstance(opened, Unfit):
+        return opened
+    body = opened[1]
     try:
         given: dict[str, Any] = orjson.loads(body)
         machines = tuple(MachineMemory(*one) for one in given.pop("machines"))
@@ -90,25 +77,11 @@
 
 
 def write(path: str, memory: Memory) -> int:
-    """Replaces the file whole: who is killed meanwhile leaves the old one, or the new one. Raises OSError."""
-    data = pack(memory)
-    part = path + ".part"
-    with open(part, "wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(part, path)
-    return len(data)
+    """Replaces the file whole. Raises OSError."""
+    return replace_file(path, pack(memory))
 
 
 def load(path: str) -> Memory | Unfit | None:
     """None where there is none."""
-    try:
-        if os.path.getsize(path) > MOST:
-            return Unfit("is larger than a snapshot can be")
-        with open(path, "rb") as file:
-            return unpack(file.read(MOST))
-    except FileNotFoundError:
-        return None
-    except OSError as error:
-        return Unfit(error.strerror or str(error))
+    data = read_file(path, MOST)
+    return unpack(data) if isinstance(data, bytes) else data
--- a/umbermoor/lifecycle/ways.py
+++ b/umbermoor/lifecycle/ways.py
@@ -4,6 +4,7 @@
     GET  /hands    each query in hand: profile, age, machine, time left
     GET  /metrics  counters in the Prometheus text form
     GET  /config   what the front runs with
+    GET  /members  who said what of the machines, and what was concluded
     POST /drain    {"deadline_s": 30}; POST /resume
 """
 
@@ -34,7 +35,7 @@
         if self._token and not self._allowed(request.headers.get("authorization", "")):
             return _said(401, {"error": "a token is needed: Authorization: Bearer TOKEN"})
         path = request.target.partition("?")[0]
-        known = {"/status": "GET", "/hands": "GET", "/metrics": "GET", "/config": "GET", "/drain": "POST",
+        known = {"/status": "GET", "/members": "GET", "/hands": "GET", "/metrics": "GET", "/config": "GET", "/drain": "POST",
                  "/resume": "POST"}
         if path not in known:
             return _said(404, {"error": f"no such way; there are {', '.join(sorted(known))}"})
--- /dev/null
+++ b/umbermoor/membership/asking.py
@@ -0,0 +1,177 @@
+"""When to ask which server for a service's records, and what to make of the answers; decisions without I/O.
+
+A host sends what ``due`` says, over UDP from a port of its own for each question, and tells ``heard`` and ``broke``. Ids and
+ports are drawn by chance that is given. Times are microseconds. Source: RFC 1035 section 7, 5452, 7766.
+"""
+
+from dataclasses import dataclass, field
+from typing import Callable, NamedTuple
+
+from umbermoor.membership import answers
+from umbermoor.membership.answers import Cut, Failed, NotOurs, NotThere, Target, There
+
+SECOND = 1_000_000
+WAIT_LEAST, WAIT_MOST = SECOND // 5, 2 * SECOND  # for one answer
+WAIT_TIMES = 6.0  # so many usual answer times
+LEARN = 0.3
+REFRESH_PART, REFRESH_SPREAD = 0.7, 0.2  # of a lifetime, after which it is asked again; so many fronts not at once
+AGAIN_FIRST, AGAIN_MOST = SECOND // 2, 8 * SECOND  # after a round in which no server answered, doubling
+HOSTS_MOST = 64  # whose addresses are asked for by themselves
+
+
+class Ask(NamedTuple):
+    server: str
+    id: int
+    data: bytes
+    tcp: bool
+
+
+@dataclass(slots=True)
+class Server:
+    """What is known of one server."""
+
+    address: str
+    usual: float = 0.0  # its answer time
+    failures: int = 0
+
+    def wait(self) -> int:
+        return round(min(WAIT_MOST, max(WAIT_LEAST, WAIT_TIMES * self.usual))) if self.usual else WAIT_MOST // 2
+
+
+@dataclass(slots=True)
+class _Out:
+    ask: Ask
+    server: Server
+    sent: int
+    name: str
+    kind: str
+
+
+@dataclass(slots=True)
+class Asker:
+    name: str
+    servers: list[Server]
+    chance: Callable[[], float]
+    next_round: int = 0
+    out: _Out | None = None
+    addresses: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    _found: There | None = None  # whose hosts' addresses are still asked for
+    _hosts: list[str] = field(default_factory=list)
+    _tried: list[Server] = field(default_factory=list)
+    _again: int = AGAIN_FIRST
+    why: str = ""
+
+    def due(self, now: int) -> Ask | None:
+        """What is to be sent now."""
+        if self.out is not None:
+            if now < self.out.sent + self.out.server.wait():
+                return None
+            self._missed(self.out.server, "no answer")
+        if now < self.next_round:
+            return None
+        return self._ask(now, False)
+
+    def next_at(self) -> int:
+        return self.next_round if self.out is None else self.out.sent + self.out.server.wait()
+
+    def heard(self, now: int, ask: Ask, data: bytes) -> There | NotThere | Failed | Ask | None:
+        """An answer: what it proves, or what to ask at once; None: nothing yet."""
+        out = self.out
+        if out is None or out.ask is not ask:
+            return None
+        read = answers.read(data, out.name, ask.id, out.kind)
+        if isinstance(read, NotOurs):
+            return None
+        took = now - out.sent
+        out.server.usual += (took - out.server.usual) * (LEARN if out.server.usual else 1.0)
+        if isinstance(read, Cut):
+            return self._failed(now, out.server, "truncated over TCP") if ask.tcp else self._again_over_tcp(now, out)
+        if isinstance(read, Failed):
+            return self._failed(now, out.server, read.why)
+        out.server.failures = 0
+        self.out = None
+        return self._address(now, out, read) if out.kind == "A" else self._service(now, read)
+
+    def broke(self, now: int, ask: Ask, why: str) -> Failed | Ask | None:
+        """It could not be sent, or its connection ended without an answer."""
+        if self.out is None or self.out.ask is not ask:
+            return None
+        return self._failed(now, self.out.server, why)
+
+    # Within.
+
+    def _ask(self, now: int, tcp: bool) -> Ask | None:
+        server = min((one for one in self.servers if one not in self._tried), default=None,
+                     key=lambda one: (one.failures, one.usual * (0.8 + 0.4 * self.chance())))
+        if server is None:
+            self._round_over(now)
+            return None
+        name, kind = (self._hosts[0], "A") if self._hosts else (self.name, "SRV")
+        return self._send(now, server, name, kind, tcp)
+
+    def _send(self, now: int, server: Server, name: str, kind: str, tcp: bool) -> Ask:
+        id = int(self.chance() * 65536)
+        ask = Ask(server.address, id, answers.question(name, id, kind), tcp)
+        self.out = _Out(ask, server, now, name, kind)
+        return ask
+
+    def _again_over_tcp(self, now: int, out: _Out) -> Ask:
+        return self._send(now, out.server, out.name, out.kind, True)
+
+    def _missed(self, server: Server, why: str) -> None:
+        server.failures += 1
+        self._tried.append(server)
+        self.out, self.why = None, f"{server.address}: {why}"
+
+    def _failed(self, now: int, server: Server, why: str) -> Failed | Ask | None:
+        self._missed(server, why)
+        ask = self._ask(now, False)
+        return ask if ask is not None else Failed(self.why)
+
+    def _round_over(self, now: int) -> None:
+        """No server answered."""
+        self._tried.clear()
+        self._hosts, self._found = [], None
+        self.next_round = now + round(self._again * (0.5 + self.chance()))
+        self._again = min(AGAIN_MOST, 2 * self._again)
+
+    def _service(self, now: int, read: There | NotThere) -> There | NotThere | Ask:
+        self._tried.clear()
+        if isinstance(read, There) and read.unknown:
+            self._found, self._hosts = read, list(read.unknown[:HOSTS_MOST])
+            self.addresses = {}
+            return self._ask(now, False)
+        return self._settled(now, read)
+
+    def _address(self, now: int, out: _Out, read: There | NotThere) -> There | Ask | NotThere:
+        self._tried.clear()
+        self._hosts.pop(0)
+        self.addresses[out.name] = read.targets[0].addresses if isinstance(read, There) else ()
+        found = self._found
+        self._found = found._replace(ttl=max(answers.TTL_LEAST, min(found.ttl, read.ttl)))
+        if self._hosts:
+            return self._ask(now, False)
+        targets = tuple(one._replace(addresses=one.addresses or self.addresses.get(one.host, ()))
+                        for one in self._found.targets)
+        done = There(targets, self._found.ttl, tuple(one.host for one in targets if not one.addresses))
+        self._found = None
+        return self._settled(now, done)
+
+    def _settled(self, now: int, read: There | NotThere) -> There | NotThere:
+        self._again = AGAIN_FIRST
+        part = REFRESH_PART + REFRESH_SPREAD * self.chance()
+        self.next_round = now + max(SECOND // 10, round(read.ttl * SECOND * part))
+        return read
+
+
+def places(found: There) -> list[tuple[str, tuple[str, int], int]]:
+    """Name, address and weight of each place that the records name; of priorities only the first counts, as in RFC 2782 a
+    client asks the others when none of these can be reached, which the list is there to say."""
+    if not found.targets:
+        return []
+    first = min(one.priority for one in found.targets)
+    return [(f"{one.host}:{one.port}", (address, one.port), one.weight)
+            for one in found.targets if one.priority == first for address in one.addresses[:1]]
+
+
+__all__ = ["Asker", "Ask", "Server", "places", "Target"]
--- /dev/null
+++ b/umbermoor/membership/book.py
@@ -0,0 +1,203 @@
+"""What each source last said, and what of it is believed: last good sets, sudden emptiness, flapping. Without I/O.
+
+Sources tell whole sets, changes, or that they fail. What a failing source knew stays, with its age. What an authoritative
+source leaves out is gone at once; of another, a set that lost most of its machines in one answer is held until it says so
+again. Times are microseconds.
+"""
+
+from dataclasses import dataclass, field
+from typing import Iterable, NamedTuple
+
+from umbermoor.interface import Readiness
+
+SECOND = 1_000_000
+SUDDEN_PART, SUDDEN_LEAST = 0.5, 4  # losing more than that part of so many at once is held
+CONFIRMED_AFTER = 2  # answers that say the same
+HELD_MOST = 10 * SECOND  # and in any case no longer than this
+STEADY_FIRST, STEADY_MOST = SECOND, 60 * SECOND  # who came back after a loss waits this long, doubling with each
+CALM = 300 * SECOND  # without a loss, after which its flapping is forgotten
+ENTRIES_MOST = 20_000  # of one source; what is beyond is left out and told
+EVENTS_MOST = 512  # kept for who asks why
+
+
+class Seen(NamedTuple):
+    """A machine as a source names it. What it does not know is None."""
+
+    name: str
+    address: tuple[str, int]
+    readiness: Readiness = Readiness.READY
+    build: int | None = None
+    born: int | None = None
+    zone: int | None = None
+    cell: int | None = None
+    weight: float | None = None
+
+
+class Event(NamedTuple):
+    """Something that was concluded, for who asks why."""
+
+    at: int
+    source: str
+    machine: str
+    what: str
+
+
+@dataclass(slots=True)
+class _Flap:
+    losses: int = 0
+    lost_at: int = 0
+    since: int = 0  # when it came back
+
+
+@dataclass(slots=True)
+class Source:
+    name: str
+    authoritative: bool
+    keep: int  # how old its last good set may be; 0: for ever
+    known: dict[str, Seen] = field(default_factory=dict)
+    good_at: int = 0  # 0: it never spoke
+    failing_since: int = 0
+    why: str = ""
+    version: int = 0
+    held: dict[str, int] = field(default_factory=dict)  # who it left out, and is not believed yet: since when
+    held_answers: int = 0
+    flaps: dict[str, _Flap] = field(default_factory=dict)
+
+    def speaks(self, now: int) -> bool:
+        """Whether what it last said still counts."""
+        return bool(self.good_at) and (not self.failing_since or not self.keep or now - self.good_at <= self.keep)
+
+
+class Book:
+    def __init__(self, sources: Iterable[tuple[str, bool, int]]) -> None:
+        self.sources = {name: Source(name, authoritative, keep) for name, authoritative, keep in sources}
+        self.events: list[Event] = []
+
+    # What sources say.
+
+    def whole(self, now: int, name: str, entries: Iterable[Seen], version: int = 0) -> bool:
+        """All that a source knows. False: it was not believed, as its version goes back."""
+        source = self.sources[name]
+        if version and source.version and version < source.version:
+            self._tell(now, source, "", f"an older answer, {version} after {source.version}, is passed over")
+            return False
+        told = self._bounded(now, source, entries)
+        lost = [one for one in source.known if one not in told]
+        sudden = (not source.authoritative and len(source.known) >= SUDDEN_LEAST
+                  and len(lost) > SUDDEN_PART * len(source.known))
+        if sudden and not self._confirmed(now, source, lost):
+            kept = {one: source.known[one] for one in lost}
+        else:
+            kept = {}
+            source.held.clear()
+            source.held_answers = 0
+        for one in lost:
+            if one not in kept:
+                self._lost(now, source, one)
+        for one in told:
+            if one not in source.known:
+                self._came(now, source, one)
+        source.known = {**kept, **told}
+        self._good(now, source, version)
+        return True
+
+    def changes(self, now: int, name: str, entries: Iterable[Seen], version: int = 0) -> None:
+        """Single machines; GONE is a goodbye, which is obeyed at once whoever says it."""
+        source = self.sources[name]
+        for one in entries:
+            if one.readiness is Readiness.GONE:
+                if source.known.pop(one.name, None) is not None:
+                    self._lost(now, source, one.name)
+            elif len(source.known) < ENTRIES_MOST or one.name in source.known:
+                if one.name not in source.known:
+                    self._came(now, source, one.name)
+                source.known[one.name] = one
+            source.held.pop(one.name, None)
+        self._good(now, source, version)
+
+    def failed(self, now: int, name: str, why: str) -> None:
+        source = self.sources[name]
+        if not source.failing_since:
+            source.failing_since = now
+            self._tell(now, source, "", f"fails: {why}; its last good set stays")
+        source.why = why
+
+    def tick(self, now: int) -> None:
+        """What was held for long enough is believed; what flapped long ago is forgotten."""
+        for source in self.sources.values():
+            if source.held and now - min(source.held.values()) >= HELD_MOST and not source.failing_since:
+                for one in list(source.held):
+                    source.known.pop(one, None)
+                    self._lost(now, source, one)
+                source.held.clear()
+                source.held_answers = 0
+            for one in [one for one, flap in source.flaps.items() if now - flap.lost_at > CALM]:
+                del source.flaps[one]
+
+    # What is believed.
+
+    def present(self, now: int, name: str) -> dict[str, Seen]:
+        """A source's machines, without those that flap and have not been steady for long enough."""
+        source = self.sources[name]
+        if not source.speaks(now):
+            return {}
+        return {one: seen for one, seen in source.known.items() if self.steady_at(source, one) <= now}
+
+    def steady_at(self, source: Source, name: str) -> int:
+        """When a machine that came back is taken again; it was never lost: at once."""
+        flap = source.flaps.get(name)
+        if flap is None or not flap.losses or not flap.since:
+            return 0
+        return flap.since + min(STEADY_MOST, STEADY_FIRST << min(20, flap.losses - 1))
+
+    def next_at(self, now: int) -> int | None:
+        times = [min(one.held.values()) + HELD_MOST for one in self.sources.values() if one.held]
+        for source in self.sources.values():
+            times += [at for name in source.flaps if name in source.known and (at := self.steady_at(source, name)) > now]
+            if source.failing_since and source.keep:
+                times.append(source.good_at + source.keep + 1)
+        return min((one for one in times if one > now), default=None)
+
+    # Within.
+
+    def _bounded(self, now: int, source: Source, entries: Iterable[Seen]) -> dict[str, Seen]:
+        told: dict[str, Seen] = {}
+        for one in entries:
+            if len(told) >= ENTRIES_MOST and one.name not in told:
+                self._tell(now, source, "", f"names more than {ENTRIES_MOST} machines: the rest is left out")
+                break
+            if one.readiness is not Readiness.GONE:
+                told[one.name] = one
+        return told
+
+    def _confirmed(self, now: int, source: Source, lost: list[str]) -> bool:
+        source.held_answers += 1
+        for one in lost:
+            source.held.setdefault(one, now)
+        source.held = {one: at for one, at in source.held.items() if one in lost}
+        if source.held_answers == 1:
+            self._tell(now, source, "", f"left out {len(lost)} of {len(source.known)} at once: held until it says so again")
+        return source.held_answers > CONFIRMED_AFTER or now - min(source.held.values()) >= HELD_MOST
+
+    def _good(self, now: int, source: Source, version: int) -> None:
+        if source.failing_since:
+            self._tell(now, source, "", f"speaks again after {(now - source.failing_since) / SECOND:.1f} s")
+        source.good_at, source.failing_since, source.why = max(1, now), 0, ""
+        source.version = version or source.version
+
+    def _lost(self, now: int, source: Source, name: str) -> None:
+        flap = source.flaps.setdefault(name, _Flap())
+        flap.losses, flap.lost_at, flap.since = flap.losses + 1, now, 0
+        if len(source.flaps) > 2 * ENTRIES_MOST:
+            source.flaps.pop(next(iter(source.flaps)))
+        self._tell(now, source, name, "is gone")
+
+    def _came(self, now: int, source: Source, name: str) -> None:
+        flap = source.flaps.get(name)
+        if flap is not None:
+            flap.since = now
+        self._tell(now, source, name, "is there" if flap is None else f"is back, after {flap.losses} losses")
+
+    def _tell(self, now: int, source: Source, machine: str, what: str) -> None:
+        self.events.append(Event(now, source.name, machine, what))
+        del self.events[:-EVENTS_MOST]
--- /dev/null
+++ b/umbermoor/membership/lasting.py
@@ -0,0 +1,52 @@
+"""The last good list in a file, for a front that starts with all sources dead."""
+
+from typing import NamedTuple
+
+import orjson
+
+from umbermoor.interface import Readiness
+from umbermoor.keeping import Unfit, read_file, replace_file, sealed, unsealed
+from umbermoor.membership.book import Seen
+
+MAGIC, VERSION = b"UMLIST", 1
+
+
+class Lasting(NamedTuple):
+    at: int  # microseconds since 1970
+    seen: tuple[Seen, ...]
+
+
+def pack(lasting: Lasting) -> bytes:
+    rows = [[one.name, *one.address, int(one.readiness), one.build, one.born, one.zone, one.cell, one.weight]
+            for one in lasting.seen]
+    return sealed(MAGIC, VERSION, orjson.dumps({"at": lasting.at, "rows": rows}))
+
+
+def unpack(data: bytes) -> Lasting | Unfit:
+    opened = unsealed(MAGIC, (VERSION,), data)
+    if isinstance(opened, Unfit):
+        return opened
+    try:
+        given = orjson.loads(opened[1])
+        seen = tuple(Seen(str(name), (str(host), int(port)), Readiness(ready), *facts)
+                     for name, host, port, ready, *facts in given["rows"])
+        return Lasting(int(given["at"]), seen)
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+        return Unfit(f"cannot be read: {type(error).__name__}")
+
+
+def save(path: str, lasting: Lasting) -> int:
+    """Raises OSError."""
+    return replace_file(path, pack(lasting))
+
+
+def load(path: str, now: int, keep: int) -> Lasting | Unfit | None:
+    """None where there is none. ``keep``: microseconds after which it is too old."""
+    data = read_file(path)
+    if not isinstance(data, bytes):
+        return data
+    lasting = unpack(data)
+    if isinstance(lasting, Lasting) and not 0 <= now - lasting.at <= keep:
+        return Unfit(f"is {(now - lasting.at) / 1e6:.0f} s old, over {keep / 1e6:.0f}" if now > lasting.at
+                     else "is of the future")
+    return lasting
--- /dev/null
+++ b/umbermoor/node/members.py
@@ -0,0 +1,272 @@
+"""Sources of membership on sockets: DNS over UDP and TCP, a file that is watched, and the list; one conclusion for the front."""
+
+import logging
+import os
+import time
+from random import SystemRandom
+from typing import Callable
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
+
+from umbermoor.house import MembersFrom, SrvFrom
+from umbermoor.interface import Entry, Listing, Readiness
+from umbermoor.keeping import Unfit
+from umbermoor.logs import note
+from umbermoor.membership.answers import Failed, NotThere, There
+from umbermoor.membership.asking import Ask, Asker, Server, places
+from umbermoor.membership.book import SECOND, Book, Seen
+from umbermoor.membership.conclude import Concluder, difference, explained
+from umbermoor.membership.lasting import Lasting, load, save
+from umbermoor.node.discovery import News
+from umbermoor.sheet import Misread, Record, read_sheet
+from umbermoor.station import read_address
+
+log = logging.getLogger(__name__)
+
+LIST = "list"
+FILE_EVERY = 0.5  # seconds between two looks at a file
+SAVE_EVERY = 2.0
+ANSWER_MOST = 65_535
+
+
+class _Datagram(DatagramProtocol):
+    """A port of its own for one question. Threat: answers by who only guesses; what comes from elsewhere is passed over."""
+
+    def __init__(self, ask: Ask, told: Callable[[Ask, bytes], None], broke: Callable[[Ask, str], None]) -> None:
+        self._ask, self._told, self._broke = ask, told, broke
+
+    def startProtocol(self) -> None:
+        host, _, port = self._ask.server.rpartition(":")
+        self.transport.connect(host, int(port))
+        self.transport.write(self._ask.data)
+
+    def datagramReceived(self, data: bytes, addr) -> None:
+        self._told(self._ask, data)
+
+    def connectionRefused(self) -> None:
+        self._broke(self._ask, "refused")
+
+
+class _Stream(Protocol):
+    """The same over TCP: two bytes of length, then the message (RFC 7766)."""
+
+    def __init__(self, ask: Ask, told: Callable[[Ask, bytes], None], broke: Callable[[Ask, str], None]) -> None:
+        self._ask, self._told, self._broke, self._data, self._done = ask, told, broke, b"", False
+
+    def connectionMade(self) -> None:
+        self.transport.write(len(self._ask.data).to_bytes(2) + self._ask.data)
+
+    def dataReceived(self, data: bytes) -> None:
+        self._data += data
+        if len(self._data) >= 2 and len(self._data) >= 2 + int.from_bytes(self._data[:2]) and not self._done:
+            self._done = True
+            self._told(self._ask, self._data[2:2 + int.from_bytes(self._data[:2])])
+            self.transport.loseConnection()
+        elif len(self._data) > ANSWER_MOST + 2:
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason) -> None:
+        if not self._done:
+            self._done = True
+            self._broke(self._ask, "the connection ended")
+
+
+class SrvSource:
+    def __init__(self, reactor, clock, given: SrvFrom, chance, told: Callable[[str, There | NotThere | Failed], None]) -> None:
+        self._reactor, self._clock, self._name, self._told = reactor, clock, given.called, told
+        self._asker = Asker(given.name, [Server(one) for one in given.servers], chance)
+        self._port = self._timer = None
+
+    def start(self) -> None:
+        self._look()
+
+    def stop(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._close()
+
+    def _close(self) -> None:
+        if self._port is not None:
+            port, self._port = self._port, None
+            port.stopListening()
+
+    def _look(self) -> None:
+        was = self._asker.out
+        ask = self._asker.due(self._clock())
+        if was is not None and self._asker.out is not was:
+            self._close()
+            if self._asker.out is None:
+                self._told(self._name, Failed(self._asker.why))
+        if ask is not None:
+            self._send(ask)
+        self._arm()
+
+    def _arm(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        wait = max(0.01, (self._asker.next_at() - self._clock()) / SECOND)
+        self._timer = self._reactor.callLater(wait, self._look)
+
+    def _send(self, ask: Ask) -> None:
+        self._close()
+        if ask.tcp:
+            factory = Factory()
+            factory.noisy = False
+            factory.buildProtocol = lambda _: _Stream(ask, self._heard, self._broke)
+            host, _, port = ask.server.rpartition(":")
+            made: Deferred = TCP4ClientEndpoint(self._reactor, host, int(port), timeout=2).connect(factory)
+            made.addErrback(lambda failure: self._broke(ask, "refused over TCP"))
+        else:
+            self._port = self._reactor.listenUDP(0, _Datagram(ask, self._heard, self._broke), "127.0.0.1", ANSWER_MOST)
+
+    def _heard(self, ask: Ask, data: bytes) -> None:
+        self._take(self._asker.heard(self._clock(), ask, data))
+
+    def _broke(self, ask: Ask, why: str) -> None:
+        self._take(self._asker.broke(self._clock(), ask, why))
+
+    def _take(self, found) -> None:
+        if isinstance(found, Ask):
+            self._send(found)
+        elif found is not None:
+            self._close()
+            self._told(self._name, found)
+        self._arm()
+
+
+class Machine(Record, frozen=True, kw_only=True):
+    PLACES = ("name", "at")
+    name: str
+    at: str
+    build: int | None = None
+    draining: bool = False
+
+    def fault(self) -> str | None:
+        return None if read_address(self.at) else f"expected host:port, not {self.at!r}"
+
+
+class Members(Record, frozen=True, kw_only=True):
+    machine: tuple[Machine, ...] = ()
+
+
+def read_members(path: str) -> list[Seen]:
+    """Raises Misread."""
+    return [Seen(one.name, read_address(one.at), Readiness.DRAINING if one.draining else Readiness.READY, one.build)
+            for one in read_sheet(path, "members", Members).machine]
+
+
+class Membership:
+    """Stands between the sources and the exchange."""
+
+    def __init__(self, reactor, clock, given: MembersFrom, told: Callable[[Listing, News], None]) -> None:
+        self._reactor, self._clock, self._given, self._told = reactor, clock, given, told
+        keep = round(given.keep_s * SECOND)
+        order = list(given.order) or [LIST, *(one.called for one in given.srv), *(one.called for one in given.file)]
+        sure = {one.called: one.authoritative for one in (*given.srv, *given.file)} | {LIST: True}
+        self.concluder = Concluder(Book([(name, sure[name], keep) for name in order]), given.rule, given.quorum,
+                                   given.existence, given.facts)
+        self._members: dict = {}
+        self._saved = None
+        self._timers: list = []
+        chance = SystemRandom().random
+        self._srv = [SrvSource(reactor, clock, one, chance, self._srv_told) for one in given.srv]
+        self._speaks: dict[str, str] = {}
+
+    def start(self) -> None:
+        if self._given.state:
+            lasting = load(self._given.state, time.time_ns() // 1000, round(self._given.keep_s * SECOND))
+            if isinstance(lasting, Unfit):
+                note(log, "last list not used", logging.WARNING, why=lasting.why)
+            elif lasting is not None:
+                note(log, "last list used", machines=len(lasting.seen))
+                self._told(Listing.CACHED, self._news([Entry(one.name, one.build or 0, one.zone or 0, one.cell or 0, one.readiness,
+                                                             one.weight or 1.0, one.born or 0) for one in lasting.seen],
+                                                      {one.name: one.address for one in lasting.seen}))
+            self._repeat(SAVE_EVERY, self._save)
+        for one in self._srv:
+            one.start()
+        for one in self._given.file:
+            self._repeat(FILE_EVERY, self._look_at, one.called, one.path, {})
+        self._repeat(0.2, self._conclude)
+
+    def stop(self) -> None:
+        for one in self._srv:
+            one.stop()
+        for timer in self._timers:
+            if timer[0].active():
+                timer[0].cancel()
+
+    def _repeat(self, every: float, call: Callable, *words) -> None:
+        timer: list = [None]
+
+        def again() -> None:
+            timer[0] = self._reactor.callLater(every, again)
+            call(*words)
+
+        timer[0] = self._reactor.callLater(0, again)
+        self._timers.append(timer)
+
+    # Sources.
+
+    def list_told(self, kind: Listing, news: News) -> None:
+        seen = [Seen(one.machine, news.addresses.get(one.machine, ("", 0)), one.readiness, one.build, one.born, one.zone,
+                     one.cell, one.size) for one in news.entries if one.machine in news.addresses or not one.readiness]
+        self._speaks = {**(self._speaks if kind is Listing.CHANGES else {}), **news.speaks}
+        if kind is Listing.CHANGES:
+            self.concluder.book.changes(self._clock(), LIST, seen)
+        elif kind is not Listing.FAILED:
+            self.concluder.book.whole(self._clock(), LIST, seen)
+        self._conclude()
+
+    def _srv_told(self, name: str, found: There | NotThere | Failed) -> None:
+        book, now = self.concluder.book, self._clock()
+        if isinstance(found, Failed):
+            book.failed(now, name, found.why)
+        else:
+            rows = places(found) if isinstance(found, There) else []
+            book.whole(now, name, [Seen(label, address, weight=None) for label, address, _ in rows])
+        self._conclude()
+
+    def _look_at(self, name: str, path: str, marks: dict) -> None:
+        book, now = self.concluder.book, self._clock()
+        try:
+            mark = os.stat(path).st_mtime_ns, os.stat(path).st_size
+            if marks.get(path) == mark:
+                return
+            book.whole(now, name, read_members(path))
+            marks[path] = mark
+        except (OSError, Misread) as error:
+            book.failed(now, name, str(error))
+        self._conclude()
+
+    # What comes of them.
+
+    def _conclude(self) -> None:
+        found = self.concluder.conclude(self._clock())
+        if found.stands or found.members == self._members:
+            return
+        kind, entries = difference(self._members, found.members)
+        self._members = found.members
+        if entries:
+            note(log, "members", machines=len(found.members), changes=len(entries))
+            self._told(kind, self._news(entries, {name: one.seen.address for name, one in found.members.items()}))
+
+    def _news(self, entries: list[Entry], addresses: dict) -> News:
+        return News(0, False, entries, {one.machine: addresses[one.machine] for one in entries if one.machine in addresses},
+                    {one.machine: self._speaks[one.machine] for one in entries if one.machine in self._speaks})
+
+    def _save(self) -> None:
+        members = self.concluder.last.members
+        if members and members is not self._saved and not self.concluder.last.stands:
+            self._saved = members
+            try:
+                save(self._given.state, Lasting(time.time_ns() // 1000, tuple(one.seen for one in members.values())))
+            except OSError as error:
+                note(log, "list not kept", logging.WARNING, why=error.strerror)
+
+    def explain(self, machine: str | None = None) -> list[str]:
+        return explained(self._clock(), self.concluder, machine)
+
+
--- a/umbermoor/node/operations.py
+++ b/umbermoor/node/operations.py
@@ -35,6 +35,7 @@
         self._open: dict[str, tuple[int, int, int]] = {}  # query: profile, came, due
         self._counts: Counter[tuple[str, str]] = Counter()
         self._listed: dict[str, tuple[int, int]] = {}
+        self.members = None  # the sources of membership, if there are several
         self._timer = self._work_timer = None
         self._scheduler = Scheduler(clock, told=lambda task, what: note(
             log, "background work", logging.WARNING, task=task.name, what=what))
@@ -43,7 +44,7 @@
             token = read_token(house.door.token) if house.door.token else ""
             self._door = Door(reactor, buffers, Ways({
                 "status": self.status, "hands": self.hands, "config": self.config, "metrics": self.metrics,
-                "drain": self.drain, "resume": self.resume}, token))
+                "members": self.explained, "drain": self.drain, "resume": self.resume}, token))
 
     def start(self) -> None:
         if self._door is not None:
@@ -114,6 +115,9 @@
                 "memory_mb": station.memory >> 20, "profiles": self._names, "fronts": station.charter.fronts,
                 "fleet": self._fleet()}
 
+    def explained(self) -> list[str]:
+        return self.members.explain() if self.members is not None else ["the platform's list alone"]
+
     def metrics(self) -> bytes:
         rows = [("answers_total", "counter", "Answers by profile and kind.", {"profile": profile, "kind": kind}, count)
                 for (profile, kind), count in sorted(self._counts.items())]
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -82,10 +82,15 @@
         if house is not None and house.capture is not None:
             from umbermoor.node.capturing import Capturing  # only here: it is no part of a front that has none
             self._capture = exchange.witness = Capturing(reactor, clock, station, house.capture)
+        self._membership = None
+        if house is not None and house.members is not None:
+            from umbermoor.node.members import Membership  # only here, as captures
+            self._membership = Membership(reactor, clock, house.members, self._concluded)
         self._operations = None
         if house is not None and (house.door is not None or house.remember is not None):
             from umbermoor.node.operations import Operations  # only here, as captures
             self._operations = Operations(reactor, clock, station, house, buffers, exchange, self._clients, self._machines)
+            self._operations.members = self._membership
             self._clients.in_hand = lambda: len(exchange.held)
             exchange.witness = self._operations if exchange.witness is None else Both(exchange.witness, self._operations)
         self._heard: set[str] = set()
@@ -104,6 +109,8 @@
             note(log, "the list at the start cannot be read", logging.WARNING)
         if known:
             self._exchange.listed(Listing.CACHED, known)
+        if self._membership is not None:
+            self._membership.start()
         news = read_stage(station.news) if station.news else None
         if station.news and not news:
             note(log, "the platform's news at the start cannot be read", logging.WARNING)
@@ -126,6 +133,12 @@
         self._exchange.tick()
 
     def _listed(self, kind, news) -> None:
+        if self._membership is not None:
+            self._membership.list_told(kind, news)
+        else:
+            self._concluded(kind, news)
+
+    def _concluded(self, kind, news) -> None:
         self._exchange.listed(kind, news)
         self._hear("list")
 
@@ -207,6 +220,8 @@
             self._capture.stop()
         if self._operations is not None:
             self._operations.stop()
+        if self._membership is not None:
+            self._membership.stop()
         self._reactor.callLater(0, self._reactor.stop)
 
 
