--- a/umbermoor/lab/sockets/town.py
+++ b/umbermoor/lab/sockets/town.py
@@ -329,7 +329,8 @@
                           machines={name: {"build": one.build, "group": one.group.name, "begun": one.begun,
                                            "work_s": round(one.work_done / 1e6, 3), "fallen": one.fallen}
                                     for name, one in self.site.machines.items()})
-        reactor.stop()
+        if reactor.running:
+            reactor.stop()
 
 
 class _Input(Protocol):
--- a/umbermoor/node/members.py
+++ b/umbermoor/node/members.py
@@ -18,7 +18,7 @@
 from umbermoor.membership.answers import Failed, NotThere, There
 from umbermoor.membership.asking import Ask, Asker, Server, places
 from umbermoor.membership.book import SECOND, Book, Seen
-from umbermoor.membership.conclude import Concluder, difference, explained
+from umbermoor.membership.conclude import Concluder, difference, entry_of, explained
 from umbermoor.membership.lasting import Lasting, load, save
 from umbermoor.node.discovery import News
 from umbermoor.sheet import Misread, Record, read_sheet
@@ -171,6 +171,7 @@
         self.concluder = Concluder(Book([(name, sure[name], keep) for name in order]), given.rule, given.quorum,
                                    given.existence, given.facts)
         self._members: dict = {}
+        self._first = True
         self._saved = None
         self._timers: list = []
         chance = SystemRandom().random
@@ -250,11 +251,13 @@
 
     def _conclude(self) -> None:
         found = self.concluder.conclude(self._clock())
-        if found.stands or found.members == self._members:
+        if found.stands or found.members == self._members and not self._first:
             return
         kind, entries = difference(self._members, found.members)
-        self._members = found.members
-        if entries:
+        if self._first:  # what the front was started with is replaced whole
+            kind, entries = Listing.FULL, [entry_of(one) for one in found.members.values()]
+        self._members, self._first = found.members, False
+        if entries or kind is Listing.FULL:
             note(log, "members", machines=len(found.members), changes=len(entries))
             self._told(kind, self._news(entries, {name: one.seen.address for name, one in found.members.items()}))
 
--- a/umbermoor/node/streams.py
+++ b/umbermoor/node/streams.py
@@ -271,8 +271,12 @@
     def _again(self, attempt: _Attempt) -> None:
         """Another connection for what was never sent on the one that it waited for."""
         attempt.line = None
-        if not attempt.call.over:
+        if attempt.call.over:
+            return
+        if attempt.call.may_go():  # asked again when its turn comes; here so that no connection is opened in vain
             self._place(attempt)
+        else:
+            attempt.call.fail(End.WITHDRAWN)
 
     # Connections.
 
--- a/umbermoor/planner/check.py
+++ b/umbermoor/planner/check.py
@@ -10,6 +10,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from umbermoor.lab.day import Group
 from umbermoor.lab.sockets.runner import play_on_sockets
 from umbermoor.planner.fit import Demand
 from umbermoor.planner.plan import Planner
@@ -52,11 +53,15 @@
         searches = planner.searches()
         growth = f"{fleet.growth[-1]:g}"
         lost = fleet.group[0].name if len(fleet.group) > 1 else ""
-        wanted = ["load", f"machines {growth}", *([f"loss {lost}"] if lost else [])]
+        wanted = ["load", f"machines {growth}"]
         found = gather({name: searches[name] for name in wanted if name in searches}, players.ask)
+        edge: Edge | None = found.get("load")
+        if lost and edge is not None and edge.mid:  # near the limit of what is left, where a share tells something
+            left = 1 - _capacity(fleet.group[0]) / fleet.capacity
+            loss = Question("loss", float(f"{max(planner.now, edge.mid * left):.4g}"), fleet.machines, 1, lost)
+            found["loss"] = list(players.ask([loss._replace(seed=seed) for seed in (1, 2, 3)]).values())
     finally:
         players.close()
-    edge: Edge | None = found.get("load")
     if edge is None or not edge.mid:
         return [Row("load at which the goal breaks", 0.0, None, True,
                     "the goal cannot be held by any number of machines")]
@@ -69,13 +74,13 @@
         for name, machines in (("fewer", int(count / (1 + WITHIN))), ("more", ceil(count * (1 + WITHIN)))):
             questions[name] = Question("steady", load, max(1, machines), 1)
     if lost:
-        questions["loss"] = Question("loss", planner.now, fleet.machines, 1, lost)
+        questions["loss"] = loss
     outcomes = _play_all(questions, demand, fleet, arrivals, seconds, told)
     rows = [_load_row(edge, outcomes, planner)]
     if count is not None:
         rows.append(_machines_row(count, growth, questions, outcomes, planner))
     if lost:
-        rows.append(_loss_row(lost, found[f"loss {lost}"], outcomes, demand))
+        rows.append(_loss_row(lost, found["loss"], outcomes, demand))
     rows.append(Row("rules broken on loopback", 0, sum(one["audit"]["breaches"] for one in outcomes.values()),
                     not any(one["audit"]["breaches"] for one in outcomes.values())))
     return rows
@@ -114,6 +119,10 @@
                f"{measured / edge.mid - 1:+.1%}")
 
 
+def _capacity(group: Group) -> float:
+    return group.machines * group.workers * group.speed
+
+
 def crossing(curve: list[tuple[float, float]]) -> float | None:
     """Where a falling curve goes through 0, between its points; None if it does not."""
     for (at, value), (after, following) in zip(curve, curve[1:]):
@@ -127,6 +136,8 @@
     fewer, more = (_worst(outcomes[name], planner) >= 0 for name in ("fewer", "more"))
     words = (f"{questions['fewer'].machines} {'held' if fewer else 'did not hold'}, {questions['more'].machines} "
              f"{'held' if more else 'did not hold'}")
+    if questions["fewer"].machines >= count:  # there is no smaller fleet
+        fewer, words = False, f"{questions['more'].machines} {'held' if more else 'did not hold'}; fewer there are none"
     measured = count if more and not fewer else float(questions["fewer"].machines
                                                       if fewer else questions["more"].machines)
     return Row(f"machines for {growth} times the load", count, measured, more and not fewer, words)
