--- a/umbermoor/planner/command.py
+++ b/umbermoor/planner/command.py
@@ -39,7 +39,7 @@
 from umbermoor.capture.files import Unreadable, read_capture, told
 from umbermoor.lab.day import micros
 from umbermoor.planner.fit import Demand, fit
-from umbermoor.planner.plan import Planner
+from umbermoor.planner.plan import Planner, situations
 from umbermoor.planner.players import Players
 from umbermoor.planner.questions import arrivals_of
 from umbermoor.planner.sheets import Fleet, Misread, read_fleet
@@ -184,14 +184,9 @@
         said = "no number that was tried holds it" if count is None else f"{count} machines hold the goal"
         console.print(f"at {growth} times the load: {said}")
     rows = Table("what", *answer["goals"], "service", "rules broken", title="Share in time at the present load")
-    shown = [("now", answer["now"]), ("rolling replacement", answer["replacement"])]
-    shown += [(f"without {name}", one["share"]) for name, one in answer["loss"].items()]
-    shown += [(f"{name} returns cold", one) for name, one in answer["cold_return"].items()]
-    shown += [(f"bad build: {one['build']}", one) for one in answer["bad_builds"]]
-    for name, one in shown:
-        if one is not None:
-            rows.add_row(name, *(_span(one[profile], 4) for profile in answer["goals"]), f"{one['service']:.4f}",
-                         str(one["rules_broken"]))
+    for name, one in situations(answer):
+        rows.add_row(name, *(_span(one[profile], 4) for profile in answer["goals"]), f"{one['service']:.4f}",
+                     str(one["rules_broken"]))
     console.print(rows)
     for name, one in answer["loss"].items():
         if one["goal_breaks_at"]:
--- a/umbermoor/planner/fit.py
+++ b/umbermoor/planner/fit.py
@@ -94,7 +94,7 @@
     machines = max(1, len({row.machine.name for row in rows if row.machine}))
     samples = {place: _samples([row for row in warm_rows if row.profile == place], sick)
                for place in range(len(header_profiles))}
-    waits = _waits(samples, header_profiles, rows, seconds, fronts, machines, fleet_workers)
+    waits = _waits(samples, rows, seconds, fronts, machines, fleet_workers)
     profiles = []
     for place, head in enumerate(header_profiles):
         asked = [row for row in fresh if row.profile == place]
@@ -147,7 +147,7 @@
     return [_Sample(row.came, max(1.0, row.served - OVERHEAD_US), row.hint) for row in some]
 
 
-def _waits(samples: dict[int, list[_Sample]], profiles: Sequence[dict[str, Any]], rows: list[Row], seconds: float,
+def _waits(samples: dict[int, list[_Sample]], rows: list[Row], seconds: float,
            fronts: int, machines: int, fleet_workers: int) -> float:
     """The mean wait behind other fronts' work, in microseconds, of a query that finds none of this front's."""
     if fronts < 2 or not fleet_workers:
@@ -164,7 +164,6 @@
     for _ in range(30):  # the work is what is left of the time; its load makes the wait
         work = max(taken * 0.2, taken - wait)
         wait = min(0.8 * taken, mean_wait(others, work, workers, 1.0))
-    del profiles
     return wait
 
 
--- a/umbermoor/planner/limits.py
+++ b/umbermoor/planner/limits.py
@@ -117,7 +117,7 @@
 
     def fits(load: float) -> bool:
         for group in fleet.group:
-            offered = load * group.speed / fleet.capacity * work / group.speed * 1.0
+            offered = load / fleet.capacity * work
             if offered >= group.workers:
                 return False
             if erlang_c(group.workers, offered) * (offered / group.workers) ** group.queue > most:
--- a/umbermoor/planner/page.py
+++ b/umbermoor/planner/page.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from umbermoor.lab.report import drawing, page, table
+from umbermoor.planner.plan import situations
 
 
 def plan_page(answer: dict[str, Any]) -> str:
@@ -24,7 +25,7 @@
     if answer["machines"]:
         parts += ["<h2>Machines that hold the goal</h2>", drawing(lambda axes: _machines(axes, answer), 2.8)]
     rows = [[name, *(_span(one[profile], 4) for profile in answer["goals"]), one["service"], one["rules_broken"]]
-            for name, one in _situations(answer)]
+            for name, one in situations(answer)]
     parts += ["<h2>At the present load</h2>", table(["what", *answer["goals"], "service", "rules broken"], rows)]
     for one in answer["bad_builds"]:
         parts += [f"<h3>Bad build: {escape(one['build'])}</h3>", table(["stage", "share in time"], one["stages"])]
@@ -32,14 +33,6 @@
     return page(f"Capacity plan: {answer['fleet']}", parts)
 
 
-def _situations(answer: dict[str, Any]) -> list[tuple[str, dict[str, Any]]]:
-    shown = [("now", answer["now"]), ("rolling replacement", answer["replacement"])]
-    shown += [(f"without {name}", one["share"]) for name, one in answer["loss"].items()]
-    shown += [(f"{name} returns cold", one) for name, one in answer["cold_return"].items()]
-    shown += [(f"bad build: {one['build']}", one) for one in answer["bad_builds"]]
-    return [(name, one) for name, one in shown if one is not None]
-
-
 def _span(one: list[float | None] | None, digits: int = 1) -> str:
     if one is None or one[0] is None:
         return "at no load"
--- a/umbermoor/planner/plan.py
+++ b/umbermoor/planner/plan.py
@@ -180,6 +180,15 @@
                 f"advice on when", "machines serve their queue in turn, each worker one query at a time"]
 
 
+def situations(answer: dict[str, Any]) -> list[tuple[str, dict[str, Any]]]:
+    """The shares in time at the present load, by what has happened; those that were played."""
+    shown = [("now", answer["now"]), ("rolling replacement", answer["replacement"])]
+    shown += [(f"without {name}", one["share"]) for name, one in answer["loss"].items()]
+    shown += [(f"{name} returns cold", one) for name, one in answer["cold_return"].items()]
+    shown += [(f"bad build: {one['build']}", one) for one in answer["bad_builds"]]
+    return [(name, one) for name, one in shown if one is not None]
+
+
 def _clipped(one: Interval) -> Interval:
     """A share lies between 0 and 1."""
     return Interval(*(min(1.0, max(0.0, value)) for value in one))
