--- a/umbermoor/gateway/almanac/configuration.py
+++ b/umbermoor/gateway/almanac/configuration.py
@@ -9,7 +9,8 @@
 
 import json
 from functools import cache
-from typing import Any, Generator, Mapping, NamedTuple
+from string import hexdigits
+from typing import Any, Callable, Generator, Mapping, NamedTuple
 
 from .faults import Fault, first_fault
 from .figures import host_name, us
@@ -19,7 +20,7 @@
 _LARGEST = 1e15  # no figure is above it; leaves room for microseconds
 _LEAD_US = 60_000_000  # a setpoint this far above its horizon is one too many
 _SLOW = 60  # what a check by cerberus costs, in plain ones
-_CHUNK = 2_000  # plain checks between two yields: some 10 to 20 ms
+_CHUNK = 1_500  # plain checks between two yields: some 10 ms
 
 
 class Configuration(NamedTuple):
@@ -58,11 +59,10 @@
 
 def check_slowly(body: object) -> Generator[None, None, Fault | None]:
     """The same in steps of some 20 ms, yielding between them; returns what check would."""
-    if not isinstance(body, dict):
-        return Fault("", "", "must be a table")
     checkers = _checkers()
-    if not checkers.whole.validate(body, normalize=False):
-        return first_fault("", checkers.whole.errors)
+    fault = _judge("", checkers.whole, body)
+    if fault or not isinstance(body, dict):
+        return fault
     work = _SLOW
     services = body["services"]
     for name, service in services.items():
@@ -151,10 +151,12 @@
     return _figure(setpoint) and (setpoint <= horizon or us(setpoint) - us(horizon) < _LEAD_US)
 
 
-def _judge(where: str, checker: Any, table: Any) -> Fault | None:
+def _judge(where: str, checker: Any, table: object) -> Fault | None:
     if not isinstance(table, dict):
         return Fault(where, "", "must be a table")
-    return None if checker.validate(table, normalize=False) else first_fault(where, checker.errors)
+    fault = None if checker.validate(table, normalize=False) else first_fault(where, checker.errors)
+    checker.document = None  # lets go of the table
+    return fault
 
 
 def _unfit(where: str, route: Mapping[str, Any], services: Mapping[str, Any]) -> Fault | None:
@@ -185,22 +187,21 @@
 def _checkers() -> _Checkers:
     from cerberus import Validator
 
-    def usable(field: str, value: Any, error: Any) -> None:
-        if value is not None and not _figure(value):
-            error(field, "must be a finite number")
+    def demand(holds: Callable[[Any], bool], what: str) -> Callable[[str, Any, Any], None]:
+        """A check that leaves null to the other rules: cerberus calls it for null all the same."""
 
-    def over_zero(field: str, value: Any, error: Any) -> None:
-        if not value > 0:
-            error(field, "must be above 0")
+        def judge(field: str, value: Any, error: Any) -> None:
+            if value is not None and not holds(value):
+                error(field, what)
 
-    def slashed(field: str, value: str, error: Any) -> None:
-        if value[:1] != "/" or value[-1:] != "/":
-            error(field, "must begin and end with a slash")
-
-    def digits(field: str, value: str, error: Any) -> None:
-        if len(value) != 8 or not all(digit in "0123456789abcdefABCDEF" for digit in value):
-            error(field, "must be eight hexadecimal digits")
+        return judge
 
+    usable = demand(_figure, "must be a finite number")
+    over_zero = demand(lambda value: value > 0, "must be above 0")
+    slashed = demand(lambda value: value[:1] == "/" == value[-1:], "must begin and end with a slash")
+    digits = demand(
+        lambda value: len(value) == 8 and all(digit in hexdigits for digit in value), "must be eight hexadecimal digits"
+    )
     name = {"type": "string", "required": True, "empty": False}
     text = {"type": "string", "nullable": True}
     figure = {"type": "number", "nullable": True, "check_with": usable}
--- a/umbermoor/gateway/almanac/routes.py
+++ b/umbermoor/gateway/almanac/routes.py
@@ -42,19 +42,19 @@
     tries: int  # the most machines one try may go to
     mix: tuple[tuple[str, float], ...]  # services and their shares, which are over 0 and add up to 1
 
-    def __init__(self, name: str, table: Mapping[str, Any]) -> None:
+    def __init__(self, name: str, host: str, mix: tuple[tuple[str, float], ...], table: Mapping[str, Any]) -> None:
         horizon = table["horizonS"]
         setpoint = table.get("setpointS")
         tries = table.get("tries")
         self.name = name
-        self.host = host_name(table["host"])
+        self.host = host
         self.prefix = table["prefix"]
         self.safe = table["kind"] == "safe"
         self.horizon_us = max(1, us(horizon))
         self.setpoint_us = self.horizon_us if setpoint is None else max(0, us(setpoint))
         self.priority = table.get("priority") or 0
         self.tries = 1 if tries is None else int(tries)
-        self.mix = _mix(table)
+        self.mix = mix
 
     def service_for(self, chance: float) -> str:
         """The service for a number drawn evenly from 0 up to 1."""
@@ -83,12 +83,15 @@
         self.envelope = _envelope(body.get("envelope") or {})
         self._hosts: dict[str, dict[str, Route]] = {}
         self._longest = 0  # of all prefixes
-        shared: dict[Any, Any] = {}  # equal hosts and mixes are kept once
+        hosts: dict[str, str] = {}  # equal hosts and mixes are kept once
+        mixes: dict[Any, Any] = {}
         for name, table in body["routes"].items():
-            route = Route(name, table)
-            route.host = shared.setdefault(route.host, route.host)
-            route.mix = shared.setdefault(route.mix, route.mix)
-            self._hosts.setdefault(route.host, {})[route.prefix] = route
+            host = hosts.get(table["host"])
+            if host is None:
+                host = hosts[table["host"]] = host_name(table["host"])
+            mix = _mix(table)
+            route = Route(name, host, mixes.setdefault(mix, mix), table)
+            self._hosts.setdefault(host, {})[route.prefix] = route
             self._longest = max(self._longest, len(route.prefix))
 
     def find(self, host: str, path: str) -> Route | None:
@@ -128,14 +131,15 @@
 
 
 def _mix(table: Mapping[str, Any]) -> tuple[tuple[str, float], ...]:
+    parts = table.get("mix")
+    if not parts:
+        return ((table["service"], 1.0),)
     gains: dict[str, float] = {}
-    for part in table.get("mix") or ():
+    for part in parts:
         if part["gain"] > 0:
             gains[part["service"]] = gains.get(part["service"], 0) + part["gain"]
-    if not gains:
-        return ((table["service"], 1.0),)
     total = sum(gains.values())
-    return tuple((service, gain / total) for service, gain in gains.items())
+    return tuple([(service, gain / total) for service, gain in gains.items()])
 
 
 def _service(name: str, table: Mapping[str, Any]) -> Service:
--- /dev/null
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -0,0 +1,148 @@
+"""A reader's side: whom to ask, with what vector, and what its answers add up to. No I/O."""
+
+from typing import Any, NamedTuple, Sequence
+
+from umbermoor.gateway.screen.registry import Entry, entry_of, merged
+
+HOLD = 900_000  # us: how long a member may keep a pull that has no news
+LOST = 2_000_000  # us: a pull that stayed without an answer for so long is made again
+PAUSE = 150_000  # us: after a pull that failed
+GAP = 60_000  # us: between a pull's answer and the next pull, so that changes come together
+AGAIN = 700_000  # us: until another member is asked for the body of a configuration
+FRESH = 1_800_000  # us: a member counts as heard for so long after its answer
+
+
+class Heard(NamedTuple):
+    """What an answer changed."""
+
+    machines: list[Entry]
+    register: dict[str, Any]  # keys that changed, with their values
+    want: bool  # the configuration's body is to be asked for
+
+
+class Source:
+    """One member of the core, as a reader sees it."""
+
+    __slots__ = "asked", "heard", "firm", "life", "number", "next"
+
+    def __init__(self) -> None:
+        self.asked: int | None = None
+        self.heard = self.firm = -(1 << 60)
+        self.life = self.number = 0
+        self.next = 0
+
+
+class Reader:
+    """Pulls from every known member. `everyone`: the core's members as last told; at first the seeds."""
+
+    def __init__(self, seeds: Sequence[str], me: str = "") -> None:
+        self.me, self.told = me, False
+        self.sources = {seed: Source() for seed in seeds if seed != me}
+        self.everyone: tuple[str, ...] = tuple(seeds)
+        self.machines: dict[str, Entry] = {}
+        self.version: tuple[int, int] = (0, 0)  # of the register
+        self.register: dict[str, Any] = {}
+        self.revision = 0  # of the configuration held whole
+        self.offered = 0  # and of the newest one heard of
+        self._want_at = 0
+
+    def due(self, now: int) -> list[str]:
+        """Members to be asked now."""
+        found = []
+        for name, source in self.sources.items():
+            if source.asked is not None and now - source.asked > LOST:
+                source.asked, source.next = None, now
+            if source.asked is None and now >= source.next:
+                found.append(name)
+        return found
+
+    def pull(self, now: int, name: str) -> dict[str, Any]:
+        """The pull for that member: the vector, and what else a member answers at once."""
+        source = self.sources[name]
+        source.asked = now
+        message = {"kind": "pull", "life": source.life, "number": source.number, "register": list(self.version),
+                   "revision": self.revision}
+        if self.offered > self.revision and now >= self._want_at:
+            message["want"], self._want_at = True, now + AGAIN
+        return message
+
+    def failed(self, now: int, name: str) -> None:
+        """The pull did not reach the member, or its connection broke."""
+        if source := self.sources.get(name):
+            source.asked, source.next = None, now + PAUSE
+
+    def news(self, now: int, name: str, message: dict[str, Any]) -> Heard | None:
+        """An answer to a pull; None where it is garbled or from a stranger."""
+        source = self.sources.get(name)
+        if source is None:
+            return None
+        try:
+            life, number, entries = int(message["life"]), int(message["number"]), message["machines"]
+            version = (int(message["register"][0]), int(message["register"][1]))
+            keys, members, firm = dict(message["keys"]), [str(one) for one in message["everyone"]], message["firm"]
+            offered = int(message["revision"])
+        except (KeyError, TypeError, ValueError, IndexError):
+            return None
+        source.asked, source.heard, source.life, source.number = None, now, life, number
+        source.next = now + GAP
+        if firm is True:
+            source.firm = now
+        if members and firm is True:
+            self._members(members)
+        changed = merged(filter(None, map(entry_of, entries if isinstance(entries, list) else [])), self.machines)
+        register = {}
+        if version > self.version:
+            self.version = version
+            register = {key: value for key, value in keys.items() if self.register.get(key) != value}
+            self.register.update(register)
+        self.offered = max(self.offered, offered)
+        return Heard(changed, register, self.offered > self.revision and now >= self._want_at)
+
+    def _members(self, members: list[str]) -> None:
+        self.everyone, self.told = tuple(members), True
+        for name in members:
+            if name != self.me and name not in self.sources:
+                self.sources[name] = Source()
+        for name in [name for name in self.sources if name not in members]:
+            del self.sources[name]
+
+    def firm_since(self, when: int) -> bool:
+        """Whether a majority of the members said since then that they are in force."""
+        if not self.told:
+            return False
+        firm = sum(source.firm >= when for source in self.sources.values()) + (self.me in self.everyone)
+        return 2 * firm > len(self.everyone)
+
+    def forget(self, now: int, ids: Sequence[str]) -> None:
+        """Drops machines that are long gone, and unknown to the members too."""
+        for id in ids:
+            self.machines.pop(id, None)
+
+
+class Teller:
+    """A member's side: pulls that wait for news. `answer` is called by the host when something changed."""
+
+    def __init__(self) -> None:
+        self.waiting: dict[Any, tuple[int, dict[str, Any]]] = {}  # by connection: until when, the pull
+
+    def pull(self, now: int, line: Any, message: dict[str, Any]) -> None:
+        """Notes a pull; a connection has one at a time."""
+        self.waiting[line] = now + HOLD, message
+
+    def closed(self, line: Any) -> None:
+        self.waiting.pop(line, None)
+
+    def due(self, now: int, life: int, urgent: int, version: tuple[int, int], revision: int) -> list[tuple[Any, dict]]:
+        """The pulls that are answered now: those with news that should not wait, and those that waited long."""
+        found = []
+        for line, (until, pull) in list(self.waiting.items()):
+            try:
+                known = int(pull["number"]) if int(pull["life"]) == life else -1
+                held, has = (int(pull["register"][0]), int(pull["register"][1])), int(pull["revision"])
+            except (KeyError, TypeError, ValueError, IndexError):
+                del self.waiting[line]
+                continue
+            if now >= until or known < urgent or held < version or has < revision or known < 0 or pull.get("want"):
+                found.append((line, pull))
+                del self.waiting[line]
+        return found
--- /dev/null
+++ b/umbermoor/gateway/mast/clients.py
@@ -0,0 +1,139 @@
+"""Connections of clients: requests are read as they come, also behind one another; answers go back in their order."""
+
+import asyncio
+from typing import Any
+
+from umbermoor.gateway.mast.post import quicken
+from umbermoor.http1.reader import Fault, Reader, Request, Response
+from umbermoor.http1.writer import REASONS
+
+ROW = 16  # requests of one connection that may wait for their answers
+CONNECTIONS = 2500  # what strangers can open
+HOP = frozenset(("connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+                 "trailer", "transfer-encoding", "upgrade", "content-length"))
+
+
+def answer_bytes(status: int, body: bytes, headers: dict[str, str], keep: int) -> bytes:
+    """An answer; keep: for how many whole seconds the connection may stay idle, 0 closes it."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, '')}"]
+    lines.extend(f"{name}: {value}" for name, value in headers.items() if name not in HOP)
+    lines.append(f"content-length: {len(body)}")
+    lines.append(f"keep-alive: timeout={keep}" if keep else "connection: close")
+    lines.append("\r\n")
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
+def request_bytes(request: Request, target_id: str, left_ms: int) -> bytes:
+    """The request as a machine gets it."""
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines.extend(f"{name}: {value}" for name, value in request.headers.items()
+                 if name not in HOP and name != "x-time-remaining" and name != "x-target-instance")
+    lines.append(f"x-time-remaining: {left_ms}")
+    lines.append(f"x-target-instance: {target_id}")
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"content-length: {len(request.body)}")
+    lines.append("\r\n")
+    return "\r\n".join(lines).encode("latin-1") + request.body
+
+
+class ClientLine(asyncio.Protocol):
+    """One client's connection. `front.came(line, slot, request)` starts a request; `told` ends it."""
+
+    __slots__ = "front", "transport", "reader", "row", "timer", "closing", "halted", "at"
+
+    def __init__(self, front: Any) -> None:
+        self.front, self.transport, self.timer = front, None, None
+        self.reader = Reader(front.buffers)
+        self.row: list[list] = []  # [request, (status, body, headers) or None, started], oldest first
+        self.closing = self.halted = False
+        self.at = 0.0
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        quicken(transport)
+        if len(self.front.lines) >= CONNECTIONS:
+            transport.abort()
+            return
+        self.front.lines.add(self)
+        self.at = self.front.clock()
+
+    def data_received(self, data: bytes) -> None:
+        self.at = self.front.clock()
+        if self.closing:
+            return
+        for found in self.reader.feed(data):
+            if isinstance(found, Fault):
+                self.row.append([None, (found.status, b"", {}), True])
+                self.closing = True
+            else:
+                self.row.append([found, None, False])
+                if not found.keep:
+                    self.closing = True
+            if self.closing:
+                break
+        self._go_on()
+        self._flush()
+        if len(self.row) >= ROW and not self.halted:
+            self.halted = True
+            self.transport.pause_reading()
+
+    def _go_on(self) -> None:
+        """Starts what may be worked at now: what may repeat at once, anything else when it is its turn."""
+        for place, slot in enumerate(list(self.row)):
+            if slot[0] is None or slot[2]:
+                continue
+            if place and slot[0].method not in ("GET", "HEAD", "OPTIONS"):
+                break
+            slot[2] = True
+            self.front.came(self, slot, slot[0])
+
+    def told(self, slot: list, status: int, body: bytes, headers: dict[str, str]) -> None:
+        """The answer to a request; it leaves when those before it have."""
+        if slot[1] is not None or self.transport is None or self.transport.is_closing():
+            return
+        slot[1] = status, body, headers
+        self._flush()
+
+    def _flush(self) -> None:
+        ready = []
+        while self.row and self.row[0][1] is not None:
+            status, body, headers = self.row.pop(0)[1]
+            last = not self.row and (self.closing or self.front.leaving)
+            self.closing = self.closing or last
+            ready.append(answer_bytes(status, body, headers, 0 if last else self.front.keep_s))
+        if ready:
+            self.transport.write(b"".join(ready))
+            self.at = self.front.clock()
+        if self.closing and not self.row:
+            self.transport.close()
+            return
+        if self.halted and len(self.row) < ROW // 2:
+            self.halted = False
+            self.transport.resume_reading()
+        if ready:
+            self._go_on()
+
+    def eof_received(self) -> bool:
+        self.closing = True
+        if not self.row:
+            return False
+        return True  # it may still read its answers
+
+    def connection_lost(self, error) -> None:
+        self.front.lines.discard(self)
+        self.reader.drop()
+        for slot in self.row:
+            if slot[2] and slot[1] is None and slot[0] is not None:
+                self.front.client_left(slot)
+        self.row = []
+
+    def sweep(self, now: float, head_s: float, idle_s: float) -> None:
+        """Closes what has been idle, and what is slow to send its request."""
+        if self.row or self.transport is None:
+            return
+        if self.reader.midway:
+            if now - self.at > head_s + 2:
+                self.transport.write(answer_bytes(408, b"", {}, 0))
+                self.transport.close()
+        elif now - self.at > idle_s:
+            self.transport.close()
--- /dev/null
+++ b/umbermoor/gateway/mast/core.py
@@ -0,0 +1,282 @@
+"""The barograph's host: calls of machines and operators by HTTP, messages of members and fronts, the disk, clocks."""
+
+import asyncio
+import gc
+import random
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from umbermoor.gateway.almanac.configuration import check_slowly, read
+from umbermoor.gateway.almanac.faults import Fault
+from umbermoor.gateway.almanac.papers import Papers
+from umbermoor.gateway.barograph.member import Member
+from umbermoor.gateway.barograph.store import Store
+from umbermoor.gateway.effects import Answer, Code, Effect, Send, Write
+from umbermoor.gateway.heliograph.reader import Reader as Pulls
+from umbermoor.gateway.heliograph.reader import Teller
+from umbermoor.gateway.logbook.calls import Call, Desk, Reply, call, reply, wrong
+from umbermoor.gateway.mast.events import event
+from umbermoor.gateway.mast.post import Line, Post, frame
+from umbermoor.gateway.screen.registry import DRAINING, Entry, Registry, beat_of, entry_of
+
+SECOND = 1_000_000
+TICK = 0.05  # s
+BATCH = 0.01  # s: changes that come together are told together
+HEARD = 0.7  # s: for a majority to note what may not be lost
+LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
+STATUS = {Code.OK: 200, Code.LATER: 503, Code.CLASH: 409, Code.WRONG: 422, Code.UNKNOWN: 404}
+CONFIG = "config"
+
+
+def admit(key: str, old: Any, new: Any) -> bool:
+    """Whether a put changes anything: of configurations the highest version holds."""
+    return key != CONFIG or old is None or new["revision"] > old["revision"]
+
+
+class Core:
+    def __init__(self, papers: Papers, chance: random.Random) -> None:
+        self.papers = papers
+        self.store = Store(papers.data_dir or "", round(papers.disk_mb * 0.6) << 20)
+        self.disk = ThreadPoolExecutor(1)
+        seeds = [seed.rpartition(":")[0] for seed in papers.seeds]
+        self.member = Member(papers.ip, seeds, papers.bear_machines, papers.cold, self.store.load(), admit, chance)
+        self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
+        self.pulls = Pulls(seeds, papers.ip)
+        self.teller = Teller()
+        self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
+        self.asks: dict[int, asyncio.Future] = {}
+        self.heards: dict[int, tuple[set[str], asyncio.Event]] = {}
+        self.number = 0
+        self.telling = False
+        self.body: tuple[int, bytes] = (0, b"")  # the frame of a configuration
+        self.over = asyncio.Event()
+
+    def now(self) -> int:
+        return round(time.monotonic() * SECOND)
+
+    # Calls
+
+    @call("POST", "/Config.Replace")
+    async def replace(self, ask: Call) -> Reply:
+        body = read(ask.body)
+        if isinstance(body, Fault):
+            return wrong(400, str(body))
+        steps = check_slowly(body)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                fault = end.value
+                break
+            await asyncio.sleep(0)
+        if fault is not None:
+            event("refused", what="configuration", why=str(fault))
+            return wrong(400, str(fault))
+        value = {"revision": int(body["revision"], 16), "text": ask.body.decode()}
+        answer = await self.ask(lambda now, number: self.member.put(now, number, CONFIG, value))
+        event("taken" if answer.code is Code.OK else "untaken", what="configuration", revision=body["revision"],
+              code=answer.code.value)
+        return Reply(200) if answer.code is Code.OK else LATER
+
+    @call("GET", "/Config.Read")
+    async def config(self, ask: Call) -> Reply:
+        answer = await self.ask(self.member.read)
+        if answer.code is not Code.OK:
+            return LATER
+        held = answer.value.get(CONFIG)
+        if held is None:
+            return wrong(404, "no configuration yet")
+        return Reply(200, held["text"].encode(), ((b"content-type", b"application/json"),))
+
+    @call("POST", "/Plants.Heartbeat/")
+    async def beat(self, ask: Call) -> Reply:
+        try:
+            body = ask.json()
+        except (ValueError, RecursionError):
+            return wrong(400, "a beat is JSON")
+        entry = beat_of(ask.name, body)
+        if isinstance(entry, str):
+            return wrong(400, entry)
+        if not self.member.connected:
+            return LATER
+        known = self.registry.entries.get(entry.id)
+        if self.registry.take(self.now(), entry):
+            self.tell_soon()
+        if entry.state == DRAINING or known is None:
+            if not await self.note(self.registry.entries.get(entry.id, entry)):
+                return LATER
+        return Reply(200)
+
+    @call("POST", "/Plants.Leave/")
+    async def gone(self, ask: Call) -> Reply:
+        entry = self.registry.gone(self.now(), ask.name)
+        self.tell_soon()
+        return Reply(200) if self.member.connected and await self.note(entry) else LATER
+
+    @call("GET", "/Story")
+    async def story(self, ask: Call) -> Reply:
+        return reply(200, {**self.member.story(), "machines": len(self.registry.entries),
+                           "connected": self.member.connected, "pulls": len(self.teller.waiting)})
+
+    async def ask(self, put: Any) -> Answer:
+        """Passes a call to the chain and waits for its end."""
+        self.number += 1
+        number, future = self.number, asyncio.get_running_loop().create_future()
+        self.asks[number] = future
+        try:
+            self.carry(put(self.now(), number))
+            async with asyncio.timeout(0.9):
+                return await future
+        except TimeoutError:
+            return Answer(number, Code.LATER)
+        finally:
+            self.asks.pop(number, None)
+
+    async def note(self, entry: Entry) -> bool:
+        """Whether a majority of the members holds it: then every front in touch gets it."""
+        self.number += 1
+        number, done = self.number, asyncio.Event()
+        self.heards[number] = {self.papers.ip}, done
+        for name in self.member.everyone:
+            if name != self.papers.ip:
+                self.post.send(name, {"kind": "told", "number": number, "entry": entry.told()})
+        try:
+            if not self.enough(number):
+                async with asyncio.timeout(HEARD):
+                    await done.wait()
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            del self.heards[number]
+
+    def enough(self, number: int) -> bool:
+        return 2 * len(self.heards[number][0]) > max(1, len(self.member.everyone))
+
+    # Messages
+
+    def receive(self, line: Line, message: dict[str, Any]) -> None:
+        kind, now = message.get("kind"), self.now()
+        if kind == "pull":
+            self.teller.pull(now, line, message)
+            self.tell_soon()
+        elif kind == "news":
+            heard = self.pulls.news(now, line.peer, message)
+            if heard is not None:
+                self.learn(now, heard.machines)
+        elif kind == "told" and line.peer in self.member.everyone:
+            entry = entry_of(message.get("entry"))
+            if entry is not None:
+                self.learn(now, [entry])
+                line.send(frame({"kind": "heard", "number": message.get("number")}))
+        elif kind == "heard":
+            held = self.heards.get(message.get("number")) if isinstance(message.get("number"), int) else None
+            if held is not None and line.peer in self.member.everyone:
+                held[0].add(line.peer)
+                if self.enough(message["number"]):
+                    held[1].set()
+        elif kind == "chain" and isinstance(message.get("body"), dict):
+            self.carry(self.member.message(now, line.peer, message["body"]))
+
+    def learn(self, now: int, entries: list[Entry]) -> None:
+        if any([self.registry.take(now, entry) for entry in entries]):
+            self.tell_soon()
+
+    def lost(self, line: Line) -> None:
+        self.teller.closed(line)
+        self.pulls.failed(self.now(), line.peer)
+
+    def carry(self, effects: list[Effect]) -> None:
+        """Does what the chain's member returned."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.post.send(effect.to, {"kind": "chain", "body": effect.message})
+            elif isinstance(effect, Write):
+                asyncio.get_running_loop().run_in_executor(self.disk, self.store.write, effect.puts).add_done_callback(
+                    lambda done, token=effect.token: self.written(token, done.exception()))
+            elif isinstance(effect, Answer):
+                future = self.asks.get(effect.ask)
+                if future is not None and not future.done():
+                    future.set_result(effect)
+        if effects:
+            self.tell_soon()
+
+    def written(self, token: int, error: BaseException | None) -> None:
+        if error is None:
+            self.carry(self.member.written(self.now(), token))
+        else:
+            event("unwritten", why=str(error))
+            self.carry(self.member.unwritten(self.now(), token))
+
+    def tell_soon(self) -> None:
+        if not self.telling:
+            self.telling = True
+            asyncio.get_running_loop().call_later(BATCH, self.tell)
+
+    def tell(self) -> None:
+        """Answers the pulls that have news."""
+        self.telling = False
+        member, registry = self.member, self.registry
+        config = member.committed.get(CONFIG)
+        revision = config["revision"] if config else 0
+        keys = {key: value for key, value in member.committed.items() if key != CONFIG}
+        for line, pull in self.teller.due(self.now(), registry.life, registry.urgent, member.version, revision):
+            known = pull["number"] if pull["life"] == registry.life else -1
+            line.send(frame({
+                "kind": "news", "life": registry.life, "number": registry.number, "machines": registry.after(known),
+                "register": list(member.version), "keys": keys if pull["register"] != list(member.version) else {},
+                "everyone": list(member.everyone), "firm": member.connected, "revision": revision}))
+            if pull.get("want") and revision > pull["revision"]:
+                if self.body[0] != revision:
+                    self.body = revision, frame({"kind": "body", "text": config["text"]})
+                line.send(self.body[1])
+
+    # Clocks
+
+    async def serve(self) -> None:
+        from hypercorn.asyncio import serve
+        from hypercorn.config import Config
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.over.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: event("sighup"))
+        await self.post.listen()
+        config = Config()
+        host, port = self.papers.listen["control"]
+        config.bind, config.accesslog, config.errorlog = [f"{host}:{port}"], None, None
+        config.include_date_header = config.include_server_header = False
+        config.graceful_timeout, config.keep_alive_timeout = 1.0, 30.0
+        config.h11_max_incomplete_size = 64 << 10
+        gc.collect()
+        gc.freeze()
+        ticking = loop.create_task(self.ticks())
+        await serve(Desk(self), config, shutdown_trigger=self.over.wait)
+        ticking.cancel()
+        event("end")
+
+    async def ticks(self) -> None:
+        shown = None
+        while True:
+            now = self.now()
+            self.carry(self.member.tick(now))
+            self.pulls.everyone = self.member.everyone
+            self.registry.tick(now, self.member.connected)
+            for name in self.member.everyone:
+                if name != self.papers.ip and name not in self.pulls.sources:
+                    self.pulls._members(list(self.member.everyone))
+            for name in self.pulls.due(now):
+                self.post.send(name, self.pulls.pull(now, name))
+            if any(now >= until for until, _ in self.teller.waiting.values()):
+                self.tell_soon()
+            story = self.member.story()
+            view = story.get("epoch"), story.get("chain"), story.get("role"), self.member.connected
+            if view != shown:
+                shown = view
+                event("view", epoch=view[0], chain=",".join(view[1] or ()) or "none", role=view[2], connected=view[3])
+            await asyncio.sleep(TICK)
+
+
+async def serve(papers: Papers) -> None:
+    """Runs a barograph until it is told to end."""
+    await Core(papers, random.Random()).serve()
--- /dev/null
+++ b/umbermoor/gateway/mast/events.py
@@ -0,0 +1,28 @@
+"""The log: one line of key=value pairs an event, on standard error, by absl."""
+
+from typing import Any
+
+
+def start(program: str, node: str) -> None:
+    """Sets the form of the lines. absl is loaded here, not by importing this."""
+    from absl import logging
+
+    class Pairs(logging.PythonFormatter):
+        def format(self, record) -> str:
+            return f"at={record.created:.3f} level={record.levelname.lower()} node={node} {record.getMessage()}"
+
+    logging.use_absl_handler()
+    logging.get_absl_handler().setFormatter(Pairs())
+    logging.set_verbosity(logging.INFO)
+    event("start", program=program)
+
+
+def event(name: str, **pairs: Any) -> None:
+    """Writes one event."""
+    from absl import logging
+    logging.info("event=%s%s", name, "".join(f" {key}={_text(value)}" for key, value in pairs.items()))
+
+
+def _text(value: Any) -> str:
+    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    return '"' + text.replace('"', "'").replace("\n", " ") + '"' if " " in text or not text else text
--- /dev/null
+++ b/umbermoor/gateway/mast/front.py
@@ -0,0 +1,270 @@
+"""The vane's host: clients' connections, machines' connections, news from the core, clocks and signals."""
+
+import asyncio
+import gc
+import json
+import random
+import signal
+import time
+from typing import Any
+
+from umbermoor.gateway.almanac.papers import Papers
+from umbermoor.gateway.almanac.routes import Route, Routes
+from umbermoor.gateway.heliograph.reader import Reader as Pulls
+from umbermoor.gateway.mast.clients import ClientLine, request_bytes
+from umbermoor.gateway.mast.events import event
+from umbermoor.gateway.mast.lines import Attempt, Pool
+from umbermoor.gateway.mast.post import Line, Post
+from umbermoor.gateway.mast.ready import ReadyLine
+from umbermoor.gateway.raingauge.budget import Budget
+from umbermoor.gateway.vane.exchange import Exchange, Fate, Relay, Told, Wait
+from umbermoor.gateway.vane.plants import Plants
+from umbermoor.http1.buffers import Buffers
+from umbermoor.http1.reader import Request, Response
+
+SECOND = 1_000_000
+TICK = 0.05  # s
+WAY = 10_000  # us: taken off what a client says it waits, for the way there and back
+FIRST = 3 * SECOND  # us: ready without any machine known, where none came within this
+LINGER = 2.6  # s: after SIGTERM until idle connections are closed; the platform looks once a second
+HEAD = 1 << 20  # bytes of memory for messages partly read, at least
+
+
+class Going:
+    """A request under way: what the state machine does not hold."""
+
+    __slots__ = "line", "slot", "request", "route", "exchange", "timer", "number", "attempts"
+
+    def __init__(self, line: ClientLine, slot: list, request: Request, route: Route, exchange: Exchange) -> None:
+        self.line, self.slot, self.request, self.route, self.exchange = line, slot, request, route, exchange
+        self.timer: asyncio.TimerHandle | None = None
+        self.number = 0
+
+
+class Front:
+    def __init__(self, papers: Papers, chance: random.Random) -> None:
+        self.papers, self.chance = papers, chance
+        self.clock = time.monotonic
+        self.plants, self.routes = Plants(), None
+        self.buffers = Buffers(papers.memory_mb << 20)
+        self.pool = Pool(self.buffers, self.clock, lambda plant: self.plants.may(self.now(), plant))
+        self.pulls = Pulls([seed.rpartition(":")[0] for seed in papers.seeds])
+        self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
+        self.lines: set[ClientLine] = set()
+        self.going: dict[int, Going] = {}  # by id of its slot
+        self.budgets: dict[str, Budget] = {}
+        self.leaving, self.ready, self.started = False, False, self.now()
+        self.keep_s, self.idle_s, self.head_s = 10, 15.0, 3.0
+        self.ended = asyncio.Event()
+        self.counts: dict[str, int] = {}
+
+    def now(self) -> int:
+        return round(self.clock() * SECOND)
+
+    # Requests
+
+    def came(self, line: ClientLine, slot: list, request: Request) -> None:
+        """A request was read whole, and it is its turn."""
+        now, routes = self.now(), self.routes
+        if routes is None:
+            line.told(slot, 503, b"", {"retry-after": "0.3"})
+            return
+        route = routes.find(request.headers.get("host", ""), request.target.partition("?")[0])
+        if route is None:
+            line.told(slot, 404, b"", {})
+            return
+        told = request.headers.get("x-time-remaining", "")
+        left = int(told) * 1000 - WAY if told.isdigit() and len(told) < 9 else route.horizon_us
+        service = route.service_for(self.chance.random())
+        exchange = Exchange(service, route.safe, route.tries, now, now + min(left, route.horizon_us))
+        going = self.going[id(slot)] = Going(line, slot, request, route, exchange)
+        self.budget(service).request(now)
+        self.go(going)
+
+    def budget(self, service: str) -> Budget:
+        held = self.budgets.get(service)
+        if held is None:
+            margin = self.papers.margin
+            held = self.budgets[service] = Budget(margin("retryRatio", 0.2), self.papers.margin_us("retryWindowS", 10))
+        return held
+
+    def go(self, going: Going) -> None:
+        """Carries out what the request's state machine wants next."""
+        now, exchange = self.now(), going.exchange
+        while exchange.answer is None and exchange.may_go_on(now):
+            second = exchange.sends > 0
+            budget = self.budget(exchange.service)
+            if second and budget.left(now) < 1:
+                exchange.hedge_at = exchange.due
+                break
+            plant = self.plants.choose(now, exchange.service, exchange.revision, exchange.tried, self.chance.random,
+                                       exchange.due - now)
+            if plant is None or plant.id in exchange.tried and exchange.out:
+                exchange.hedge_at = exchange.due
+                break
+            if second:
+                budget.spend(now)
+            self.hand(now, going, plant)
+        step = exchange.rest(now)
+        if going.timer is not None:
+            going.timer.cancel()
+            going.timer = None
+        if isinstance(step, Wait):
+            going.timer = asyncio.get_running_loop().call_later(max(0, step.until - now) / SECOND, self.go, going)
+        elif isinstance(step, Relay):
+            response: Response = step.answer
+            self.finish(going, response.status, response.body, response.headers)
+        elif isinstance(step, Told):
+            self.finish(going, step.status, b"",
+                        {} if step.retry_after is None else {"retry-after": f"{step.retry_after:g}"})
+
+    def hand(self, now: int, going: Going, plant) -> None:
+        exchange = going.exchange
+        going.number += 1
+        number = going.number
+        usual = self.plants.usual.get(exchange.service, 100_000.0)
+        exchange.attempt(now, number, plant, round(4 * usual * plant.pace))
+        self.plants.sent(now, plant)
+        data = request_bytes(going.request, plant.id, max(1, (exchange.due - now) // 1000))
+        attempt = Attempt(data, going.request.headers.get("x-attempt-id", ""),
+                          lambda fate, response: self.attempt_ended(going, number, plant, now, fate, response))
+        self.pool.start(plant, attempt, not exchange.safe)
+
+    def attempt_ended(self, going: Going, number: int, plant, sent: int, fate: Fate, response: Response | None) -> None:
+        now, plants = self.now(), self.plants
+        plants.back(plant)
+        if response is not None and (load := response.headers.get("x-load-level")):
+            plants.load_told(now, plant, load)
+        status = response.status if response is not None else 0
+        if fate is Fate.WHOLE and status < 500:
+            plants.answered(now, plant, now - sent)
+        elif fate is Fate.FULL:
+            plants.full(now, plant)
+        elif fate is Fate.WRONG:
+            plants.wrong(plant)
+        elif fate is Fate.WHOLE:
+            plant.heard = now
+        else:
+            plants.failed(now, plant, fate is Fate.UNSENT)
+        self.counts[fate.value] = self.counts.get(fate.value, 0) + 1
+        going.exchange.ended(number, fate, response, status)
+        if not going.exchange.closed:
+            self.go(going)
+
+    def finish(self, going: Going, status: int, body: bytes, headers: dict[str, str]) -> None:
+        going.exchange.closed = True
+        if going.timer is not None:
+            going.timer.cancel()
+        self.going.pop(id(going.slot), None)
+        key = f"s{status}"
+        self.counts[key] = self.counts.get(key, 0) + 1
+        going.line.told(going.slot, status, body, headers)
+
+    def client_left(self, slot: list) -> None:
+        """Its connection is gone: what it asked is not sent anywhere else."""
+        going = self.going.pop(id(slot), None)
+        if going is not None:
+            going.exchange.closed = True
+            if going.timer is not None:
+                going.timer.cancel()
+
+    # News
+
+    def receive(self, line: Line, message: dict[str, Any]) -> None:
+        kind, now = message.get("kind"), self.now()
+        if kind == "news":
+            heard = self.pulls.news(now, line.peer, message)
+            if heard is None:
+                return
+            for plant in self.plants.take(now, heard.machines):
+                self.pool.drop(plant)
+            if heard.want:
+                self.post.send(line.peer, self.pulls.pull(now, line.peer))
+        elif kind == "body" and line.peer in self.pulls.sources:
+            self.configured(message)
+
+    def configured(self, message: dict[str, Any]) -> None:
+        """The body of a configuration: in force from now on, if it is newer than what is."""
+        try:
+            body = json.loads(message["text"])
+            if self.routes is not None and int(body["revision"], 16) <= self.routes.revision:
+                return
+            routes = Routes(body)
+        except (KeyError, TypeError, ValueError) as error:  # a member checked it: whoever sent this is no member
+            event("garbled", what="configuration", why=error)
+            return
+        self.routes = routes
+        self.pulls.revision = max(self.pulls.revision, routes.revision)
+        envelope = routes.envelope
+        self.idle_s, self.head_s = envelope.idle_us / SECOND + 1.0, envelope.header_us / SECOND
+        self.keep_s = max(1, round(envelope.idle_us / SECOND) - 1)
+        event("configured", revision=routes.revision_text, source="news")
+
+    def lost(self, line: Line) -> None:
+        if line.peer in self.pulls.sources:
+            self.pulls.failed(self.now(), line.peer)
+
+    # Clocks
+
+    async def serve(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.leave)
+        loop.add_signal_handler(signal.SIGHUP, lambda: event("sighup"))
+        await self.post.listen()
+        host, port = self.papers.listen["ready"]
+        await loop.create_server(lambda: ReadyLine(lambda: self.ready and not self.leaving), host, port)
+        host, port = self.papers.listen["front"]
+        server = await loop.create_server(lambda: ClientLine(self), host, port, backlog=512)
+        gc.collect()
+        gc.freeze()
+        ticking = loop.create_task(self.ticks())
+        await self.ended.wait()
+        await self.part(server)
+        ticking.cancel()
+        event("end", **self.counts)
+
+    async def ticks(self) -> None:
+        told = 0.0
+        while True:
+            now = self.now()
+            for name in self.pulls.due(now):
+                self.post.send(name, self.pulls.pull(now, name))
+            if not self.ready:
+                self.ready = (self.routes is not None and self.pulls.offered <= self.pulls.revision
+                              and self.pulls.firm_since(self.started)
+                              and (bool(self.plants.by_id) or now - self.started > FIRST))
+                if self.ready:
+                    event("ready", machines=len(self.plants.by_id), revision=self.routes.revision_text)
+            clock = self.clock()
+            if clock - told >= 1:
+                told = clock
+                self.pool.sweep()
+                for line in list(self.lines):
+                    line.sweep(clock, self.head_s, self.idle_s)
+            await asyncio.sleep(TICK)
+
+    def leave(self) -> None:
+        if not self.leaving:
+            self.leaving = True
+            event("leaving", under_way=len(self.going))
+            self.ended.set()
+
+    async def part(self, server: asyncio.Server) -> None:
+        """Not ready at once; new connections until the platform has seen that; then what is under way ends."""
+        until = self.clock() + LINGER
+        while self.clock() < until:
+            await asyncio.sleep(0.1)
+        server.close()
+        most = self.clock() + self.papers.margin("graceS", 6.0) - LINGER - 0.7
+        while self.clock() < most:
+            for line in list(self.lines):
+                if not line.row and not line.reader.midway:
+                    line.transport.close()
+            if not self.lines:
+                return
+            await asyncio.sleep(0.05)
+
+
+async def serve(papers: Papers) -> None:
+    """Runs a vane until it is told to end."""
+    await Front(papers, random.Random()).serve()
--- /dev/null
+++ b/umbermoor/gateway/mast/post.py
@@ -0,0 +1,152 @@
+"""Messages between processes of the system: frames of JSON on TCP, best effort. A line that says nothing is dropped.
+
+A stranger may open lines too: each holds one frame of at most MOST bytes, and there are at most LINES of them."""
+
+import asyncio
+import json
+import socket
+import zlib
+from typing import Any, Callable
+
+MOST = 8 << 20  # bytes of a frame
+LINES = 400
+BACKLOG = 4 << 20  # bytes that may wait for a peer that does not read
+CONNECT = 0.6  # s
+USER_TIMEOUT = 1500  # ms without an acknowledgement until a line is broken
+PRESS = 4096  # bytes from which a frame is pressed
+PRESSED = 1 << 31
+
+
+def frame(message: dict[str, Any]) -> bytes:
+    body = json.dumps(message, separators=(",", ":")).encode()
+    mark = 0
+    if len(body) > PRESS:
+        body, mark = zlib.compress(body, 1), PRESSED
+    return (len(body) | mark).to_bytes(4, "big") + body
+
+
+def opened(body: bytes, pressed: bool) -> dict[str, Any] | None:
+    """A frame's message; None where it is garbled or too large."""
+    try:
+        if pressed:
+            reader = zlib.decompressobj()
+            body = reader.decompress(body, MOST)
+            if reader.unconsumed_tail:
+                return None
+        message = json.loads(body)
+    except (ValueError, zlib.error, RecursionError):
+        return None
+    return message if isinstance(message, dict) else None
+
+
+class Line(asyncio.Protocol):
+    """One connection, either way."""
+
+    def __init__(self, post: "Post", peer: str | None) -> None:
+        self.post, self.peer = post, peer
+        self.transport: asyncio.Transport | None = None
+        self.held = bytearray()
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        quicken(transport)
+        if self.peer is None:
+            self.peer = transport.get_extra_info("peername")[0]
+            if len(self.post.incoming) >= LINES:
+                transport.abort()
+                return
+            self.post.incoming.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.held += data
+        while len(self.held) >= 4:
+            head = int.from_bytes(self.held[:4], "big")
+            size = head & ~PRESSED
+            if size > MOST:
+                self.transport.abort()
+                return
+            if len(self.held) < 4 + size:
+                return
+            message = opened(bytes(self.held[4:4 + size]), bool(head & PRESSED))
+            del self.held[:4 + size]
+            if message is None:
+                self.transport.abort()
+                return
+            self.post.receive(self, message)
+
+    def send(self, data: bytes) -> None:
+        if self.transport and not self.transport.is_closing():
+            if self.transport.get_write_buffer_size() > BACKLOG:
+                self.transport.abort()  # it does not read: what is lost is sent again
+            else:
+                self.transport.write(data)
+
+    def connection_lost(self, error) -> None:
+        self.held = bytearray()
+        self.post.incoming.discard(self)
+        self.post.lost(self)
+
+
+def quicken(transport) -> None:
+    """Small writes leave at once; a peer that vanished is noticed."""
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
+
+
+class Post:
+    """Lines to and from other processes, by IP address; all listen on the same port."""
+
+    def __init__(self, ip: str, port: int, receive: Callable[[Line, dict], None],
+                 lost: Callable[[Line], None] = lambda line: None) -> None:
+        self.ip, self.port, self._receive, self._lost = ip, port, receive, lost
+        self.incoming: set[Line] = set()
+        self.outgoing: dict[str, Line | list[bytes]] = {}  # a line, or what waits for it
+        self._tasks: set[asyncio.Task] = set()
+
+    async def listen(self) -> None:
+        await asyncio.get_running_loop().create_server(lambda: Line(self, None), self.ip, self.port)
+
+    def receive(self, line: Line, message: dict) -> None:
+        self._receive(line, message)
+
+    def lost(self, line: Line) -> None:
+        if self.outgoing.get(line.peer) is line:
+            del self.outgoing[line.peer]
+        self._lost(line)
+
+    def send(self, to: str, message: dict[str, Any]) -> None:
+        self.send_frame(to, frame(message))
+
+    def send_frame(self, to: str, data: bytes) -> None:
+        held = self.outgoing.get(to)
+        if isinstance(held, Line):
+            held.send(data)
+        elif held is not None:
+            if len(held) < 100:
+                held.append(data)
+        else:
+            self.outgoing[to] = [data]
+            task = asyncio.get_running_loop().create_task(self._open(to))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _open(self, to: str) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT):
+                _, line = await loop.create_connection(lambda: Line(self, to), to, self.port)
+        except (OSError, TimeoutError):
+            self.outgoing.pop(to, None)
+            line = Line(self, to)
+            self._lost(line)
+            return
+        waiting, self.outgoing[to] = self.outgoing.get(to, []), line
+        for data in waiting if isinstance(waiting, list) else []:
+            line.send(data)
+
+    def drop(self, to: str) -> None:
+        """Breaks the line to a peer that says nothing."""
+        held = self.outgoing.get(to)
+        if isinstance(held, Line) and held.transport:
+            held.transport.abort()
--- /dev/null
+++ b/umbermoor/ground/__init__.py
@@ -0,0 +1,1 @@
+"""What the front in service and the gateway share; knows neither."""
