--- a/umbermoor/gateway/almanac/configuration.py
+++ b/umbermoor/gateway/almanac/configuration.py
@@ -58,7 +58,7 @@
 
 
 def check_slowly(body: object) -> Generator[None, None, Fault | None]:
-    """The same in steps of some 20 ms, yielding between them; returns what check would."""
+    """The same in steps of 10 to 20 ms, yielding between them; returns what check would."""
     checkers = _checkers()
     fault = _judge("", checkers.whole, body)
     if fault or not isinstance(body, dict):
@@ -93,9 +93,11 @@
 def _once(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     table = dict(pairs)
     if len(table) != len(pairs):
-        names = [name for name, _ in pairs]
-        twice = next(name for name in names if names.count(name) > 1)
-        raise ValueError(f"{twice!r} is there twice")
+        seen: set[str] = set()
+        for name, _ in pairs:
+            if name in seen:
+                raise ValueError(f"{name!r} is there twice")
+            seen.add(name)
     return table
 
 
