--- a/umbermoor/ground/__init__.py
+++ b/umbermoor/ground/__init__.py
@@ -1,1 +1,1 @@
-"""What the front in service and the gateway share; knows neither."""
+"""The ground under front and gateway: what both share and what knows neither of them."""
