--- /dev/null
+++ b/umbermoor/gateway/barograph/__init__.py
@@ -0,0 +1,53 @@
+"""The gateway's durable register: what the core machines must not lose, each holding all of it on its own disk.
+
+Values go along a chain of members, from its head, which orders them, to its tail, which tells that they are committed:
+by then every member of the chain has them synced. A small view - an epoch, and who is in the chain - mends the chain
+when a member falls silent, loses its disk, or comes back; it is agreed on by a majority of all members, and a chain is
+never smaller than that. There is no log: a member that comes into a chain is given the whole map.
+
+What it stands on: of 2m+1 members no more than m lose their disks at once (until filled again), clocks run at about
+one rate, and what was synced stays. Messages may be lost, doubled, late and cut one way; processes may end at any step.
+
+`member` decides, `store` is the only I/O; a host carries messages and time between them. Three members and their disks:
+
+>>> import json, random
+>>> from umbermoor.gateway.barograph.member import Member
+>>> from umbermoor.gateway.effects import Answer, Send, Write
+>>> names = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
+>>> disks = {name: {} for name in names}
+>>> def newer(key, old, new):
+...     return old is None or new["revision"] > old["revision"]
+>>> def start(name, cold):
+...     return Member(name, names, 1, cold, disks[name], newer, random.Random(name))
+>>> members = {name: start(name, cold=True) for name in names}
+>>> def carry(now, name, effects):
+...     for effect in effects:
+...         if isinstance(effect, Send):
+...             if effect.to in members:
+...                 message = json.loads(json.dumps(effect.message))
+...                 carry(now, effect.to, members[effect.to].message(now, name, message))
+...         elif isinstance(effect, Write):
+...             disks[name].update(effect.puts)
+...             carry(now, name, members[name].written(now, effect.token))
+...         else:
+...             print(effect.code.name, effect.value)
+>>> def pass_time(start, ms):
+...     for now in range(start, start + ms * 1000, 50_000):
+...         for name in list(members):
+...             carry(now, name, members[name].tick(now))
+...     return start + ms * 1000
+>>> now = pass_time(0, 1500)
+>>> carry(now, names[2], members[names[2]].put(now, 1, "config/a", {"revision": 1}))
+OK None
+>>> carry(now, names[1], members[names[1]].read(now, 2))
+OK {'config/a': {'revision': 1}}
+>>> members[names[0]].story()["role"], members[names[2]].story()["role"]
+('head', 'tail')
+
+One is lost; the chain is mended without it, and holds what it held:
+
+>>> lost = members.pop(names[0])
+>>> now = pass_time(now, 1500)
+>>> carry(now, names[2], members[names[2]].read(now, 3))
+OK {'config/a': {'revision': 1}}
+"""
--- /dev/null
+++ b/umbermoor/gateway/barograph/member.py
@@ -0,0 +1,890 @@
+"""One member of the register: takes messages, time and what the disk tells, returns effects. See the package.
+
+Errors: a message of another shape or from outside is dropped; a call that cannot be told in 700 ms is answered LATER,
+and may be done nevertheless. Source of the rules: `view`, and van Renesse and Schneider, Chain Replication (2004).
+Times are whole microseconds of a clock that never goes back in a life.
+"""
+
+import json
+import random
+from collections import deque
+from functools import partial
+from typing import Any, Callable, Mapping, NamedTuple, Sequence
+
+from umbermoor.gateway.barograph import words
+from umbermoor.gateway.barograph.asks import Asks, Taken
+from umbermoor.gateway.barograph.disk import Disk
+from umbermoor.gateway.barograph.peers import STEADY, Peer, Peers
+from umbermoor.gateway.barograph.view import (
+    MOST,
+    NO_VIEW,
+    Attempt,
+    Promise,
+    Version,
+    View,
+    choose_chain,
+    epoch_after,
+    majority,
+)
+from umbermoor.gateway.effects import Answer, Code, Effect, Send
+
+MS = 1000
+PING = 200 * MS
+HEARD = 1000 * MS  # heard within this counts for `connected`
+SILENCE = 800 * MS  # one of the chain that is not heard in it, and well, for so long is given up
+TARDY = 1200 * MS  # so is the next one if it acknowledges nothing for so long
+LOST = 2000 * MS  # one outside that hears of no chain for so long proposes
+SETTLE = 400 * MS  # a member that has just started waits so long for the others
+COLLECT = 600 * MS  # promises are collected for no longer: less than QUARANTINE, or a lost disk's promise would count
+GATHER = 250 * MS  # and beyond a majority of them for so long
+ACCEPT = 1200 * MS  # all of the chain must accept within this
+QUARANTINE = 1000 * MS  # a blank member asks what was promised only so long after its start
+ASK_AGAIN = 150 * MS
+FILL_AGAIN = 400 * MS
+APPEND_AGAIN = 250 * MS
+SHUN = 3000 * MS  # one that did not follow into a view is left out for so long, if a majority remains
+FOUND = 500 * MS  # no new member appeared for so long: found
+FETCH = 1000 * MS
+UNCOMMITTED = 64  # writes on their way that a head takes at most
+READERS = 256
+BATCH = 16  # entries in a message
+
+
+class Entry(NamedTuple):
+    key: str
+    value: Any
+    origin: str  # who asked, its life and its number there
+    life: int
+    id: int
+
+
+def write_json(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+class Member:
+    """A state machine; every input returns the effects it has.
+
+    `me` and `seeds` are IP addresses, the seeds the same in the same order everywhere; the first of them founds. `bear`:
+    disks that may be lost at once. `cold`: an empty disk is a new system's, not a lost one. `stored`: what Store.load
+    gave. `admit(key, old, new)` tells at the head whether a put changes anything; old is None where there is nothing.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        seeds: Sequence[str],
+        bear: int,
+        cold: bool,
+        stored: Mapping[str, bytes],
+        admit: Callable[[str, Any, Any], bool],
+        chance: random.Random,
+    ) -> None:
+        self.me, self.bear = me, bear
+        self.everyone: tuple[str, ...] = tuple(json.loads(stored.get("members", b"[]")))
+        self.committed: dict[str, Any] = {}
+        self.version: Version = (0, 0)
+        self._seeds, self._admit, self._chance = tuple(seeds), admit, chance
+        self._life, self._beat, self._now, self._began = chance.getrandbits(48), 0, 0, -1
+        self._out: list[Effect] = []
+        self._local: deque[dict[str, Any]] = deque()
+        self._disk, self._peers, self._asks = Disk(), Peers(me), Asks()
+        self._fresh = cold and not self.everyone
+        self._blank = not cold and not self.everyone
+        self._pinged = -PING
+
+        # what is, or will next be, on disk
+        self._promise: int = json.loads(stored.get("promise", b"0"))
+        epoch, chain = json.loads(stored.get("view", b"[0,[]]"))
+        self._held = View(epoch, tuple(chain))  # accepted last
+        self._state = {key[6:]: json.loads(value) for key, value in stored.items() if key.startswith("state/")}
+        version = json.loads(stored.get("version", b"[0,0]"))
+        if version[0] != epoch:
+            raise ValueError(f"a version of epoch {version[0]} was stored in view {epoch}")
+        self._last: int = version[1]  # the version of the state is (held.epoch, last)
+        self._promised = self._promise  # synced, this and the next three
+        self._settled = bool(self.everyone)
+        self._joined = 0  # the epoch that was accepted in this life
+        self._entered = 0  # that, synced
+        self._synced = self._last
+
+        # founding, and being filled
+        self._settlers: set[str] = set()
+        self._found_at, self._grown_at = 0, 0
+        self._learn, self._learnt, self._learn_at = 0, dict[str, int](), 0
+
+        # views
+        self._view = NO_VIEW  # the latest known to be active
+        self._joined_at = 0
+        self._attempt: Attempt | None = None
+        self._patience = 0  # nothing is proposed before
+        self._cause, self._due = "", 0  # why something is to be proposed, and when
+        self._shunned: dict[str, int] = {}
+        self._fetched = -FETCH
+
+        # the chain, in the view that was joined
+        self._pending: deque[Entry] = deque()  # up to last
+        self._sent, self._acked, self._sent_at, self._progress = 0, 0, 0, 0
+        self._taken = Taken()
+        self._waiting: list[tuple[int, Entry]] = []  # puts that change nothing, until what was before is committed
+        self._readers: dict[tuple[str, int, int], tuple[int, Version]] = {}  # until when, what is held there
+        self._confirming: tuple[set[tuple[str, int, int]], set[str]] | None = None
+        self._nonce, self._confirmed_at = 0, 0
+
+    # what a host calls
+
+    def message(self, now: int, sender: str, message: dict[str, Any]) -> list[Effect]:
+        """Another member says this."""
+        self._at(now)
+        if sender != self.me and words.shaped(message):
+            self._hear(sender, message)
+        return self._effects()
+
+    def tick(self, now: int) -> list[Effect]:
+        """Time passes; every 50 ms or so."""
+        self._at(now)
+        if now - self._pinged >= PING:
+            self._ping_all()
+        if self.everyone:
+            if self._blank:
+                self._ask_promises()
+            self._pursue()
+            self._consider()
+            self._again()
+            self._catch_up()
+        elif self._fresh and self._seeds[:1] == (self.me,):
+            self._found()
+        if self._settled and not self._promise and self._is_founder():
+            self._settle_others()
+        self._send_asks()
+        return self._effects()
+
+    def written(self, now: int, token: int) -> list[Effect]:
+        """The Write of that token is synced."""
+        self._at(now)
+        for then in self._disk.written(token):
+            then()
+        return self._effects()
+
+    def unwritten(self, now: int, token: int) -> list[Effect]:
+        """The disk refused the Write of that token, as a whole."""
+        self._at(now)
+        self._disk.unwritten(now, token)
+        return self._effects()
+
+    def put(self, now: int, ask: int, key: str, value: Any) -> list[Effect]:
+        """Have `value` stand under `key`, or nothing if it is None. Answered OK once it, or what is above it, is
+        committed; LATER if that cannot be told; WRONG if the key is too long, or the value is not JSON's."""
+        self._at(now)
+        try:
+            fit = words.key(key) and bool(write_json(value))
+        except (TypeError, ValueError, RecursionError):
+            fit = False
+        if not fit:
+            self._out.append(Answer(ask, Code.WRONG))
+        elif not self._able() or not self._asks.add(now, ask, (key, value)):
+            self._out.append(Answer(ask, Code.LATER))
+        self._send_asks()
+        return self._effects()
+
+    def read(self, now: int, ask: int) -> list[Effect]:
+        """The whole map, no older than anything answered before this call; LATER if that cannot be told."""
+        self._at(now)
+        if not self._able() or not self._asks.add(now, ask, None):
+            self._out.append(Answer(ask, Code.LATER))
+        self._send_asks()
+        return self._effects()
+
+    @property
+    def connected(self) -> bool:
+        """Whether it hears a majority, and a chain that serves is known: this member is in it, or hears of it."""
+        if self._blank or not self.everyone:
+            return False
+        heard = self._peers.heard(self._now, HEARD)
+        return len(heard) + 1 >= majority(self.everyone) and (self._serving() or self._hears_serving(HEARD))
+
+    def story(self) -> dict[str, Any]:
+        """For operators: epoch, chain, role, version, waiting."""
+        if self._blank or self._fresh:
+            role = "blank"
+        elif not self._serving():
+            role = "out"
+        else:
+            place = self._place()
+            role = "head" if place == 0 else "tail" if place == len(self._held.chain) - 1 else "middle"
+        return {
+            "epoch": self._view.epoch,
+            "chain": list(self._view.chain),
+            "role": role,
+            "version": list(self.version),
+            "waiting": len(self._pending),
+        }
+
+    # in and out
+
+    def _at(self, now: int) -> None:
+        if self._began < 0:
+            self._began = self._now = now
+        self._now = max(self._now, now)
+
+    def _effects(self) -> list[Effect]:
+        while self._local:
+            self._hear(self.me, self._local.popleft())
+        if write := self._disk.start(self._now):
+            self._out.append(write)
+        out, self._out = self._out, []
+        return out
+
+    def _send(self, to: str, kind: str, **fields: Any) -> None:
+        message = {"kind": kind, **fields}
+        if to == self.me:
+            self._local.append(message)
+        else:
+            self._out.append(Send(to, message))
+
+    def _hear(self, sender: str, message: dict[str, Any]) -> None:
+        kind = message["kind"]
+        if kind in ("ping", "found", "settled") or sender in self.everyone:
+            getattr(self, f"_on_{kind}")(sender, message)
+
+    def _others(self) -> list[str]:
+        return [who for who in self.everyone if who != self.me]
+
+    def _able(self) -> bool:
+        return bool(self.everyone) and not self._blank
+
+    # pings
+
+    def _ping(self) -> dict[str, Any]:
+        self._beat += 1
+        return {
+            "life": self._life,
+            "beat": self._beat,
+            "fresh": self._fresh,
+            "blank": self._blank,
+            "ready": self._ready(),
+            "well": self._disk.well(self._now),
+            "members": list(self.everyone),
+            "promise": self._floor() if self._blank else self._promise,
+            "joined": self._joined,
+            "serving": self._serving(),
+            "view": [self._view.epoch, list(self._view.chain)] if self._view.epoch else None,
+            "committed": list(self.version),
+            "hears": sorted(self._peers.heard(self._now)),
+        }
+
+    def _ping_all(self) -> None:
+        self._pinged = self._now
+        ping = self._ping()
+        for who in self._others() if self.everyone else set(self._seeds) | set(self._peers.heard(self._now)):
+            if who != self.me:
+                self._send(who, "ping", **ping)
+
+    def _on_ping(self, sender: str, ping: dict[str, Any]) -> None:
+        if self.everyone and sender not in self.everyone:
+            if not ping["members"]:  # a stranger asks: it may learn that it is one
+                self._send(sender, "ping", **self._ping())
+            return
+        if not self.everyone:
+            self._meet(sender, ping)
+        if self._peers.hear(self._now, sender, ping):
+            self._grown_at = self._now
+            self._shunned.pop(sender, None)
+            self._send(sender, "ping", **self._ping())
+        if not self.everyone:
+            return
+        if ping["promise"] and not ping["blank"] and self._settled and self._is_founder() and not self._promise:
+            self._forget()
+        if ping["view"]:
+            self._know(View(ping["view"][0], tuple(ping["view"][1])))
+        if tuple(ping["committed"])[0] == self._joined:
+            self._commit(ping["committed"][1])
+
+    def _meet(self, sender: str, ping: dict[str, Any]) -> None:
+        """Learn who the members are, if this is one of them that has lost its disk."""
+        members = tuple(ping["members"])
+        if self.me in members and sender in members and ping["promise"] and not ping["blank"]:
+            self._fresh, self._blank = False, True
+            self._became(members)
+
+    def _became(self, members: tuple[str, ...]) -> None:
+        self.everyone = members
+        self._peers.keep(members)
+
+    # founding
+
+    def _is_founder(self) -> bool:
+        return bool(self._seeds) and self._seeds[0] == self.me
+
+    def _found(self) -> None:
+        known = {who: peer for who, peer in self._peers.heard(self._now).items() if peer.ping["fresh"]}
+        enough = 2 * self.bear + 1 <= len(known) + 1 <= MOST
+        if enough and self._now - max(self._grown_at, self._began) >= FOUND:
+            self._fresh = False
+            self._became(tuple(sorted([*known, self.me])))
+            self._disk.want({"members": write_json(self.everyone)}, "members", self._have_settled)
+
+    def _have_settled(self) -> None:
+        self._settled = True
+        if self._is_founder():
+            self._settle_others()
+        else:
+            self._send(self._seeds[0], "settled", members=list(self.everyone), promise=self._promise)
+
+    def _settle_others(self) -> None:
+        if self._now - self._found_at >= ASK_AGAIN:
+            self._found_at = self._now
+            for who in self._others():
+                peer = self._peers.get(who)
+                if who not in self._settlers and peer:
+                    self._send(who, "found", members=list(self.everyone), life=peer.ping["life"])
+        if self._settlers.issuperset(self._others()) and not self._attempt:
+            self._propose(frozenset())
+
+    def _on_found(self, sender: str, message: dict[str, Any]) -> None:
+        members = tuple(message["members"])
+        if sender != self._seeds[0] or self.me not in members or sender not in members:
+            return
+        if self._fresh and not self.everyone and message["life"] == self._life:
+            self._fresh = False
+            self._became(members)
+            self._disk.want({"members": write_json(members)}, "members", self._have_settled)
+        elif self._settled and members == self.everyone:
+            self._have_settled()
+
+    def _on_settled(self, sender: str, message: dict[str, Any]) -> None:
+        if not self._is_founder() or not self._settled or self._promise or tuple(message["members"]) != self.everyone:
+            return
+        if message["promise"]:
+            self._forget()
+        elif sender in self.everyone:
+            self._settlers.add(sender)
+            self._settle_others()
+
+    def _forget(self) -> None:
+        """It was founded before, when this member's disk was another: what it founds now must not come to be."""
+        self._blank, self._settled = True, False
+        self._disk.want({"members": None}, "members", lambda: None)
+
+    def _counts(self) -> bool:
+        """Whether it may be one of a majority: not blank, nor a founder that has not found all others new."""
+        return not self._blank and self._settled and (self._promise > 0 or not self._is_founder())
+
+    # being filled after the disk was lost
+
+    def _ready(self) -> bool:
+        """Whether enough others told what they promised: every majority that promised before has one among them."""
+        return self._blank and bool(self.everyone) and len(self._learnt) > len(self.everyone) - majority(self.everyone)
+
+    def _floor(self) -> int:
+        return max(self._learnt.values(), default=0)
+
+    def _ask_promises(self) -> None:
+        if self._ready() or self._now - self._began < QUARANTINE or self._now - self._learn_at < ASK_AGAIN:
+            return
+        self._learn_at = self._now
+        self._learn = self._learn or self._chance.getrandbits(48)
+        for who in self._others():
+            if who not in self._learnt:
+                self._send(who, "learn", nonce=self._learn)
+
+    def _on_learn(self, sender: str, message: dict[str, Any]) -> None:
+        if self._counts():
+            self._send(sender, "learnt", nonce=message["nonce"], promise=self._promise)
+
+    def _on_learnt(self, sender: str, message: dict[str, Any]) -> None:
+        if self._blank and self._learn and message["nonce"] == self._learn:
+            self._learnt[sender] = message["promise"]
+
+    # why a view is proposed
+
+    def _hears_serving(self, within: int) -> bool:
+        return any(
+            peer.ping["serving"] and peer.joined == self._view.epoch
+            for peer in self._peers.heard(self._now, within).values()
+        )
+
+    def _serving(self) -> bool:
+        return 0 < self._joined == self._view.epoch == self._promise
+
+    def _place(self) -> int:
+        return self._held.chain.index(self.me)
+
+    def _find_cause(self) -> tuple[str, int, frozenset[str]]:
+        """Why a view is to be proposed ("": it is not), how long that must hold first, and who is to be left out."""
+        nobody: frozenset[str] = frozenset()
+        rank = self.everyone.index(self.me)
+        apart = rank * 50 * MS + self._chance.randrange(50 * MS)
+        if not self._serving():
+            if self._view.epoch > self._joined and self._hears_serving(HEARD):
+                return ("restarted", apart, nobody) if self.me in self._view.chain else ("", 0, nobody)
+            if self._promise > max(self._joined, self._view.epoch) and self._joined:
+                return "fenced", apart, nobody
+            if self._joined:
+                return "unserved", SILENCE + apart, nobody
+            heard = self._peers.heard(self._now)
+            if self.me in self._view.chain or len(heard) == len(self.everyone) - 1:
+                return "started", apart, nobody
+            return "started", (LOST if self._view.epoch else SETTLE) + apart, nobody
+        for who in self._held.chain:
+            peer = self._peers.get(who)
+            since = max(self._joined_at, peer.joined_at if peer and peer.joined == self._joined else 0)
+            if who != self.me and self._now - since > SILENCE:
+                return "silent", rank * 80 * MS + self._chance.randrange(100 * MS), frozenset((who,))
+        if self._acked < self._sent and self._now - self._progress > TARDY:
+            return "tardy", 0, frozenset((self._held.chain[self._place() + 1],))
+        if any(self._may_enter(who, peer) for who, peer in self._peers.heard(self._now).items()):
+            return "enter", self._place() * 250 * MS + self._chance.randrange(100 * MS), nobody
+        return "", 0, nobody
+
+    def _may_enter(self, who: str, peer: Peer) -> bool:
+        return (
+            who not in self._held.chain
+            and peer.ping["well"]
+            and (not peer.ping["blank"] or peer.ping["ready"])
+            and self._now - peer.since >= STEADY
+            and self._shunned.get(who, 0) <= self._now
+            and all(self._peers.mutual(self._now, who, other) for other in self._held.chain)
+        )
+
+    def _consider(self) -> None:
+        if self._blank or not self._settled or not self._promise or self._attempt or not self._disk.well(self._now):
+            return
+        if self._now < self._patience:
+            return
+        cause, delay, shunned = self._find_cause()
+        due = self._now + delay
+        self._due = due if cause != self._cause else min(self._due, due)
+        self._cause = cause
+        mutual = sum(self._peers.mutual(self._now, self.me, who) for who in self.everyone)
+        if cause and self._now >= self._due and mutual >= majority(self.everyone):
+            self._propose(shunned)
+
+    # agreeing on one
+
+    def _propose(self, shunned: frozenset[str]) -> None:
+        self._cause = ""
+        highest = max(self._promise, self._peers.highest())
+        epoch = epoch_after(highest, self.everyone.index(self.me), self._chance)
+        self._shunned = {who: until for who, until in self._shunned.items() if until > self._now}
+        self._shunned.update(dict.fromkeys(shunned, self._now + SHUN))
+        self._attempt = Attempt(epoch, self._now, frozenset(self._shunned))
+        self._give_promise(epoch, self.me, (self._held.epoch, self._last))
+
+    def _give_promise(self, epoch: int, to: str, theirs: Version) -> None:
+        self._promise = epoch
+        self._disk.want({"promise": write_json(epoch)}, "promise", partial(self._have_promised, epoch, to, theirs))
+
+    def _have_promised(self, epoch: int, to: str, theirs: Version) -> None:
+        self._promised = max(self._promised, epoch)
+        if self._promise == epoch > self._held.epoch:
+            mine = self._held.epoch, self._last
+            state = dict(self._state) if mine > theirs else None
+            self._send(to, "promise", epoch=epoch, blank=False, version=list(mine), state=state)
+
+    def _on_prepare(self, sender: str, message: dict[str, Any]) -> None:
+        epoch, theirs = message["epoch"], tuple(message["version"])
+        if self._blank:
+            if self._ready() and epoch > self._floor() and epoch >= self._promise:
+                self._send(sender, "promise", epoch=epoch, blank=True, version=[0, 0], state=None)
+        elif epoch > self._promise and self._counts():
+            self._attempt = None
+            self._patience = self._now + 700 * MS + self._chance.randrange(400 * MS)
+            self._give_promise(epoch, sender, theirs)
+        elif epoch == self._promise == self._promised:
+            self._have_promised(epoch, sender, theirs)
+        elif epoch < self._promise:
+            self._send(sender, "refuse", epoch=epoch, promise=self._promise)
+
+    def _on_refuse(self, sender: str, message: dict[str, Any]) -> None:
+        if self._attempt and self._attempt.epoch == message["epoch"] < message["promise"]:
+            self._give_up()
+
+    def _on_promise(self, sender: str, message: dict[str, Any]) -> None:
+        attempt = self._attempt
+        if attempt and attempt.epoch == message["epoch"] and not attempt.chain:
+            promise = Promise(message["blank"], tuple(message["version"]), message["state"])
+            if promise.blank or promise.state is not None or promise.version <= (self._held.epoch, self._last):
+                attempt.promises.setdefault(sender, promise)
+                self._pursue()
+
+    def _pursue(self) -> None:
+        """Take an attempt as far as it goes now."""
+        attempt = self._attempt
+        if not attempt or self.me not in attempt.promises:  # one's own promise is not synced
+            if attempt and self._now - attempt.began >= COLLECT:
+                self._give_up()
+        elif not attempt.chain:
+            if self._now - attempt.began >= COLLECT:
+                self._give_up()
+            elif attempt.promised() >= majority(self.everyone) and self._all_in(attempt):
+                self._set_out(attempt)
+            elif self._now - attempt.sent >= ASK_AGAIN:
+                attempt.sent = self._now
+                for who in self._others():
+                    if who not in attempt.promises:
+                        self._send(who, "prepare", epoch=attempt.epoch, version=[self._held.epoch, self._last])
+        elif attempt.accepted.issuperset(attempt.chain):
+            self._attempt = None
+            self._know(View(attempt.epoch, attempt.chain))
+            self._ping_all()
+        elif self._now - attempt.began >= COLLECT + ACCEPT:
+            for who in attempt.chain:
+                if who not in attempt.accepted and who != self.me:
+                    self._shunned[who] = self._now + SHUN
+            self._give_up()
+        elif self._now - attempt.sent >= FILL_AGAIN:
+            self._send_view(attempt, whole=True)
+
+    def _give_up(self) -> None:
+        self._attempt = None
+        self._patience = self._now + 50 * MS + self._chance.randrange(300 * MS)
+
+    def _all_in(self, attempt: Attempt) -> bool:
+        """Whether all have promised that may be expected to, or have been waited for."""
+        if self._now - attempt.began >= GATHER:
+            return True
+        return all(
+            who in attempt.promises or not peer.ping["well"] or peer.ping["blank"] and not peer.ping["ready"]
+            for who, peer in self._peers.heard(self._now).items()
+            if who not in attempt.shunned
+        )
+
+    def _set_out(self, attempt: Attempt) -> None:
+        """Enough have promised: decide on the chain and its state."""
+        first = [self.me, *self._view.chain, *self.everyone]
+        order = [who for who in dict.fromkeys(first) if who in attempt.promises]
+        chosen = choose_chain(
+            order, attempt.shunned, majority(self.everyone), partial(self._peers.mutual, self._now)
+        )
+        for who, peer in self._peers.heard(self._now).items():
+            if who not in attempt.promises and peer.ping["well"] and not peer.ping["blank"]:
+                self._shunned[who] = self._now + SHUN
+        newest = attempt.newest()
+        attempt.base = newest.version
+        attempt.state = dict(self._state) if newest.state is None else newest.state
+        attempt.chain = tuple(who for who in self.everyone if who in chosen)
+        self._send_view(attempt, whole=False)
+
+    def _send_view(self, attempt: Attempt, whole: bool) -> None:
+        attempt.sent = self._now
+        for who in attempt.chain:
+            if who not in attempt.accepted:
+                promise = attempt.promises[who]
+                same = not promise.blank and promise.version == attempt.base and not whole
+                self._send(
+                    who,
+                    "newview",
+                    epoch=attempt.epoch,
+                    chain=list(attempt.chain),
+                    members=list(self.everyone),
+                    base=list(attempt.base),
+                    state=None if same else attempt.state,
+                )
+
+    def _on_newview(self, sender: str, message: dict[str, Any]) -> None:
+        epoch, chain, state = message["epoch"], tuple(message["chain"]), message["state"]
+        if epoch == self._joined:
+            if self._entered == epoch:
+                self._send(sender, "accept", epoch=epoch)
+            return
+        least = max(self._promise, self._floor() + 1 if self._blank else 0)
+        if epoch < least:
+            self._send(sender, "refuse", epoch=epoch, promise=least)
+            return
+        if self._blank and not self._ready() or not self._blank and not self._settled:
+            return
+        if epoch <= self._held.epoch or tuple(message["members"]) != self.everyone or self.me not in chain:
+            return
+        if not set(chain) <= set(self.everyone) or len(chain) < majority(self.everyone):
+            return
+        if state is None:
+            if self._blank or tuple(message["base"]) != (self._held.epoch, self._last):
+                return
+            state = self._state
+        self._join(sender, View(epoch, chain), state)
+
+    def _join(self, sender: str, view: View, state: Mapping[str, Any]) -> None:
+        puts: dict[str, bytes | None] = {f"state/{key}": None for key in self._state if key not in state}
+        for key, value in state.items():
+            if key not in self._state or self._state[key] != value:
+                puts[f"state/{key}"] = write_json(value)
+        puts["promise"] = write_json(view.epoch)
+        puts["view"] = write_json(view)
+        puts["members"] = write_json(self.everyone)
+        puts["version"] = write_json((view.epoch, 0))
+        if self._attempt and self._attempt.epoch < view.epoch:
+            self._attempt = None
+        self._promise = self._joined = view.epoch
+        self._held, self._state, self._last = view, dict(state), 0
+        self._joined_at, self._cause = self._now, ""
+        self._pending.clear()
+        self._sent = self._acked = self._synced = 0
+        self._taken, self._waiting = Taken(), []
+        self._readers, self._confirming = {}, None
+        self._disk.want(puts, "join", partial(self._have_joined, sender, view.epoch))
+
+    def _have_joined(self, sender: str, epoch: int) -> None:
+        self._promised, self._entered = max(self._promised, epoch), epoch
+        self._blank, self._settled = False, True
+        self._learnt = {}
+        if self._joined == epoch:
+            self._send(sender, "accept", epoch=epoch)
+
+    def _on_accept(self, sender: str, message: dict[str, Any]) -> None:
+        attempt = self._attempt
+        if attempt and attempt.chain and attempt.epoch == message["epoch"]:
+            attempt.accepted.add(sender)
+            self._pursue()
+
+    def _know(self, view: View) -> None:
+        """That view is active: all of its chain have accepted it."""
+        if view.epoch <= self._view.epoch or not view.chain or not set(view.chain) <= set(self.everyone):
+            return
+        self._view = view
+        self._fetched = self._now - FETCH
+        if self._joined == view.epoch and self.version < (view.epoch, 0):
+            self.committed, self.version = dict(self._state), (view.epoch, 0)
+            self._joined_at = self._now
+        self._send_asks()
+
+    # along the chain
+
+    def _neighbour(self, step: int) -> str | None:
+        place = self._place() + step
+        return self._held.chain[place] if 0 <= place < len(self._held.chain) else None
+
+    def _on_put(self, sender: str, message: dict[str, Any]) -> None:
+        epoch, life, number = message["epoch"], message["life"], message["id"]
+        if not epoch or epoch != self._joined or self._place() != 0:
+            return
+        seq = self._taken.seq(life, number)
+        if seq is not None:
+            if 0 <= seq <= self._committed_here():
+                self._send(sender, "done", life=life, id=number)
+            return
+        if self._promise != epoch:
+            self._send(sender, "refused", epoch=epoch, life=life, id=number)
+            return
+        if not self._serving() or len(self._pending) >= UNCOMMITTED or len(self._waiting) >= UNCOMMITTED:
+            return
+        entry = Entry(message["key"], message["value"], sender, life, number)
+        if self._admit(entry.key, self._state.get(entry.key), entry.value):
+            self._take([entry])
+            self._taken.note(life, number, self._last)
+        else:
+            self._taken.note(life, number, self._last)
+            self._waiting.append((self._last, entry))
+            self._tell_waiting()
+
+    def _committed_here(self) -> int:
+        """Up to where this view's writes are known committed; -1: it is not active yet."""
+        return self.version[1] if 0 < self._joined == self.version[0] else -1
+
+    def _take(self, entries: Sequence[Entry]) -> None:
+        puts: dict[str, bytes | None] = {}
+        for entry in entries:
+            self._last += 1
+            self._pending.append(entry)
+            if entry.value is None:
+                self._state.pop(entry.key, None)
+            else:
+                self._state[entry.key] = entry.value
+            puts[f"state/{entry.key}"] = None if entry.value is None else write_json(entry.value)
+        puts["version"] = write_json((self._joined, self._last))
+        self._disk.want(puts, "entries", partial(self._have_taken, self._joined, self._last))
+
+    def _have_taken(self, epoch: int, seq: int) -> None:
+        if epoch != self._joined:
+            return
+        self._synced = max(self._synced, seq)
+        if self._neighbour(+1) is None:
+            self._commit(self._synced)
+        else:
+            self._forward()
+        self._acknowledge()
+
+    def _forward(self) -> None:
+        """Hand on what is synced here and was not handed on."""
+        if self._sent < self._synced and self._acked == self._sent:
+            self._progress = self._now
+        while self._sent < self._synced:
+            self._sent = self._hand_on(self._sent + 1)
+
+    def _hand_on(self, first: int) -> int:
+        start = self._last - len(self._pending) + 1  # the seq of pending[0]
+        last = min(self._synced, first + BATCH - 1)
+        self._send(
+            self._neighbour(+1) or "",
+            "append",
+            epoch=self._joined,
+            first=first,
+            entries=[list(self._pending[seq - start]) for seq in range(first, last + 1)],
+            committed=max(0, self._committed_here()),
+        )
+        self._sent_at = self._now
+        return last
+
+    def _on_append(self, sender: str, message: dict[str, Any]) -> None:
+        if not self._joined or message["epoch"] != self._joined or sender != self._neighbour(-1):
+            return
+        self._know(self._held)  # a head takes nothing before
+        self._commit(message["committed"])
+        new = message["entries"][max(0, self._last + 1 - message["first"]) :]
+        if new and message["first"] <= self._last + 1 and self._promise == self._joined:
+            self._take([Entry(*entry) for entry in new])
+        else:
+            self._acknowledge()
+
+    def _acknowledge(self) -> None:
+        if before := self._neighbour(-1):
+            committed = max(0, self._committed_here())
+            self._send(before, "ack", epoch=self._joined, synced=self._synced, committed=committed)
+
+    def _on_ack(self, sender: str, message: dict[str, Any]) -> None:
+        if not self._joined or message["epoch"] != self._joined or sender != self._neighbour(+1):
+            return
+        if self._acked < message["synced"] <= self._sent:
+            self._acked, self._progress = message["synced"], self._now
+        if self._commit(message["committed"]):
+            self._acknowledge()
+
+    def _commit(self, seq: int) -> bool:
+        """The tail has synced this view's writes up to there; whether that was news."""
+        done = self._committed_here()
+        if done < 0 or min(seq, self._synced) <= done:
+            return False
+        while done < min(seq, self._synced):
+            entry = self._pending.popleft()
+            if entry.value is None:
+                self.committed.pop(entry.key, None)
+            else:
+                self.committed[entry.key] = entry.value
+            done += 1
+            if self._neighbour(+1) is None:
+                self._send(entry.origin, "done", life=entry.life, id=entry.id)
+        self.version = self._joined, done
+        self._acked = max(self._acked, min(done, self._sent))
+        self._tell_waiting()
+        return True
+
+    def _tell_waiting(self) -> None:
+        done = self._committed_here()
+        for seq, entry in self._waiting:
+            if seq <= done:
+                self._send(entry.origin, "done", life=entry.life, id=entry.id)
+        self._waiting = [(seq, entry) for seq, entry in self._waiting if seq > done]
+
+    def _again(self) -> None:
+        """Say again what was not answered."""
+        if self._joined and self._acked < self._sent and self._now - self._sent_at >= APPEND_AGAIN:
+            self._hand_on(self._acked + 1)
+        self._readers = {key: reader for key, reader in self._readers.items() if reader[0] > self._now}
+        if self._confirming and self._now - self._confirmed_at >= ASK_AGAIN:
+            self._confirm()
+
+    # calls
+
+    def _send_asks(self) -> None:
+        epoch = self._view.epoch
+        for ask, code in self._asks.over(self._now, epoch):
+            self._out.append(Answer(ask, code))
+        if not epoch or not self._able():
+            return
+        head, tail = self._view.chain[0], self._view.chain[-1]
+        for number, ask in self._asks.due(self._now, epoch):
+            if ask.put is None:
+                self._send(tail, "read", epoch=epoch, life=self._life, id=number, have=list(self.version))
+            else:
+                key, value = ask.put
+                self._send(head, "put", epoch=epoch, life=self._life, id=number, key=key, value=value)
+
+    def _on_done(self, sender: str, message: dict[str, Any]) -> None:
+        if message["life"] == self._life and (ask := self._asks.end(message["id"])):
+            self._out.append(Answer(ask.ask, Code.OK))
+
+    def _on_refused(self, sender: str, message: dict[str, Any]) -> None:
+        if message["life"] == self._life:
+            self._asks.refused(message["id"], message["epoch"])
+
+    def _on_read(self, sender: str, message: dict[str, Any]) -> None:
+        if message["epoch"] != self._joined or not self._serving() or self._neighbour(+1) is not None:
+            return
+        if len(self._readers) < READERS:
+            key = sender, message["life"], message["id"]
+            self._readers.setdefault(key, (self._now + HEARD, tuple(message["have"])))
+        if not self._confirming and self._readers:
+            self._nonce += 1
+            self._confirming = set(self._readers), {self.me}
+            self._confirm()
+            self._conclude()
+
+    def _confirm(self) -> None:
+        self._confirmed_at = self._now
+        for who in self._others():
+            self._send(who, "confirm", epoch=self._joined, nonce=self._nonce + self._life)
+
+    def _on_confirm(self, sender: str, message: dict[str, Any]) -> None:
+        if self._counts() and self._promise <= message["epoch"]:
+            self._send(sender, "confirmed", epoch=message["epoch"], nonce=message["nonce"])
+
+    def _on_confirmed(self, sender: str, message: dict[str, Any]) -> None:
+        if not self._confirming or message["epoch"] != self._joined:
+            return
+        if message["nonce"] == self._nonce + self._life:
+            self._confirming[1].add(sender)
+            self._conclude()
+
+    def _conclude(self) -> None:
+        """Answer the readers that came before a majority told that no later epoch was promised."""
+        if not self._confirming or not self._serving() or len(self._confirming[1]) < majority(self.everyone):
+            return
+        asked, self._confirming = self._confirming[0], None
+        for key in sorted(asked & set(self._readers)):
+            origin, life, number = key
+            _, have = self._readers.pop(key)
+            state = None if have == self.version else dict(self.committed)
+            self._send(origin, "map", life=life, id=number, version=list(self.version), state=state)
+        if self._readers:
+            self._nonce += 1
+            self._confirming = set(self._readers), {self.me}
+            self._confirm()
+
+    def _on_map(self, sender: str, message: dict[str, Any]) -> None:
+        if message["life"] != self._life:
+            return
+        version, state = tuple(message["version"]), message["state"]
+        if state is not None:
+            self._learn_committed(version, state)
+        if self.version >= version and (ask := self._asks.end(message["id"])):
+            self._out.append(Answer(ask.ask, Code.OK, dict(self.committed)))
+
+    # what those outside the chain learn
+
+    def _learn_committed(self, version: Version, state: Mapping[str, Any]) -> None:
+        if version <= self.version:
+            return
+        if version[0] == self._joined and self._held.epoch == self._joined:
+            self._know(self._held)
+            self._commit(version[1])
+        if version > self.version and version[0] != self._joined:
+            self.committed, self.version = dict(state), version
+
+    def _catch_up(self) -> None:
+        if self._serving() or self._blank or self._now - self._fetched < FETCH:
+            return
+        ahead = [
+            who
+            for who, peer in self._peers.heard(self._now).items()
+            if peer.ping["serving"] and peer.committed > self.version
+        ]
+        if ahead:
+            self._fetched = self._now
+            self._send(self._chance.choice(ahead), "fetch", have=list(self.version))
+
+    def _on_fetch(self, sender: str, message: dict[str, Any]) -> None:
+        if tuple(message["have"]) < self.version:
+            self._send(sender, "news", version=list(self.version), state=dict(self.committed))
+
+    def _on_news(self, sender: str, message: dict[str, Any]) -> None:
+        self._learn_committed(tuple(message["version"]), message["state"])
--- /dev/null
+++ b/umbermoor/gateway/barograph/view.py
@@ -0,0 +1,87 @@
+"""Views: who is in the chain, under which epoch, and an attempt to agree on the next one.
+
+A view is agreed on as one decree: its proposer has a majority of the members that are not blank promise an epoch that
+nobody else proposes, takes the state of the highest version among them, and has every member of the new chain accept
+it. Source: Lamport, Paxos Made Simple (2001), with the whole chain in place of an accepting majority; van Renesse and
+Schneider, Chain Replication (2004). Times are whole microseconds.
+"""
+
+import random
+from dataclasses import dataclass, field
+from typing import Any, Callable, Iterable, Mapping, NamedTuple, Sequence
+
+MOST = 64  # members
+STEP = 256 * MOST
+
+Version = tuple[int, int]  # epoch, seq
+
+
+class View(NamedTuple):
+    epoch: int
+    chain: tuple[str, ...]  # from head to tail
+
+
+NO_VIEW = View(0, ())
+
+
+def majority(members: Sequence[str]) -> int:
+    return len(members) // 2 + 1
+
+
+def epoch_after(epoch: int, rank: int, chance: random.Random) -> int:
+    """An epoch above `epoch` that no other member proposes, nor this one again if its disk is lost meanwhile.
+
+    >>> epoch_after(0, 2, random.Random(1)) // STEP, epoch_after(5 * STEP + 77, 2, random.Random(1)) // STEP
+    (1, 6)
+    """
+    return (epoch // STEP + 1) * STEP + chance.randrange(256) * MOST + rank
+
+
+def choose_chain(
+    order: Iterable[str], shunned: Iterable[str], least: int, mutual: Callable[[str, str], bool]
+) -> tuple[str, ...]:
+    """Of those in `order`, as many as all hear each other, the first ones preferred; all, if that leaves too few.
+
+    >>> choose_chain("abc", "", 2, lambda one, other: {one, other} != {"a", "b"})
+    ('a', 'c')
+    >>> choose_chain("abc", "c", 2, lambda one, other: True)
+    ('a', 'b')
+    >>> choose_chain("ab", "b", 2, lambda one, other: True)
+    ('a', 'b')
+    """
+    order = tuple(order)
+    chosen: list[str] = []
+    for one in order:
+        if one not in shunned and all(mutual(one, other) for other in chosen):
+            chosen.append(one)
+    return tuple(chosen) if len(chosen) >= least else order
+
+
+class Promise(NamedTuple):
+    blank: bool
+    version: Version
+    state: Mapping[str, Any] | None  # None: as the proposer's, or older
+
+
+@dataclass(slots=True)
+class Attempt:
+    """To agree on the view `epoch`, from its first step to the last acceptance."""
+
+    epoch: int
+    began: int
+    shunned: frozenset[str]
+    promises: dict[str, Promise] = field(default_factory=dict)
+    sent: int = -(2**40)  # when those were last asked who have not replied
+    chain: tuple[str, ...] = ()  # () as long as promises are collected
+    base: Version = (0, 0)
+    state: Mapping[str, Any] = field(default_factory=dict)
+    accepted: set[str] = field(default_factory=set)
+
+    def promised(self) -> int:
+        """How many that count have promised."""
+        return sum(not promise.blank for promise in self.promises.values())
+
+    def newest(self) -> Promise:
+        """Whose state is to be taken."""
+        counting = (promise for promise in self.promises.values() if not promise.blank)
+        return max(counting, key=lambda promise: promise.version)
