--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -195,7 +195,7 @@
                 self.post.send(effect.to, {"kind": "chain", "body": effect.message})
             elif isinstance(effect, Write):
                 asyncio.get_running_loop().run_in_executor(self.disk, self.store.write, effect.puts).add_done_callback(
-                    lambda done, token=effect.token: self.written(token, done.exception()))
+                    lambda done, token=effect.token: self.written(token, done.result()))
             elif isinstance(effect, Answer):
                 future = self.asks.get(effect.ask)
                 if future is not None and not future.done():
@@ -203,11 +203,11 @@
         if effects:
             self.tell_soon()
 
-    def written(self, token: int, error: BaseException | None) -> None:
-        if error is None:
+    def written(self, token: int, done: bool) -> None:
+        if done:
             self.carry(self.member.written(self.now(), token))
         else:
-            event("unwritten", why=str(error))
+            event("unwritten", token=token)
             self.carry(self.member.unwritten(self.now(), token))
 
     def tell_soon(self) -> None:
--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -9,6 +9,7 @@
 from math import exp, log, sqrt
 from typing import Sequence
 
+from umbermoor.ground.testroll import needed, posterior, spread
 from umbermoor.interface import (Charter, Control, Decision, Do, Ending, Entry, Group, Listing, News, Phase,
                                  Repeat, Verdict)
 from umbermoor.records import Contrast, Fading, HandOff, Machine, Pace, Pool, Query, Score, Slope, rank
@@ -566,13 +567,12 @@
         if last and self.fleet and now < self.staged + self.charter.least_stage + SECOND:
             ahead = None  # it moves nothing sooner; threat: one of before this stage had its traffic stands
         for new, earlier in ((stage.new, stage.earlier), (total.new, total.earlier)):
-            spread = (_clipped(earlier.mean(released))[1] / SIGMA) ** 2
-            needed = max(LEAST, sqrt(expected / 4 * spread + (0.75 * spread) ** 2) - 0.75 * spread)
-            if new.n >= needed or clock and new.n >= LEAST:
+            enough = needed(expected, _clipped(earlier.mean(released))[0], SIGMA, LEAST)
+            if new.n >= enough or clock and new.n >= LEAST:
                 if self._trails(new, earlier, released):
                     return Verdict.BACK
                 # Threat: one vote on suffices, and the least informed of many fronts casts it.
-                unsure = self.fleet and new.n < needed and since < max(patience, told) + PATIENT
+                unsure = self.fleet and new.n < enough and since < max(patience, told) + PATIENT
                 return None if unsure and self._trails(new, earlier, released, 0.5) else ahead
         trails = stage.new.n and stage.new.mean(released) < stage.earlier.mean(released)
         return (None if trails else ahead) if clock else Verdict.HOLD if timed and trails else None
@@ -601,12 +601,11 @@
         mu, s = _clipped(earlier, sure)
         if self.news.phase is Phase.TRIAL and self.blamed:  # threat: false complaints, weighed as several
             s = sqrt(s * s + self.blamed / (self.praised + 1) / self.charter.complaint_share ** 2)
-        b = SIGMA ** 2 / (SIGMA ** 2 + s * s / n)
         fixed = WIDE * (1 + (sure == SURE)) if self.fleet else MARGIN
         lead = fixed + (LONE if self.charter.votes_back <= 1 else 2) * s / sqrt(n)
-        return mu - ((1 - b) * mu + b * new) > lead * part
+        return mu - posterior(new, n, mu, SIGMA, s) > lead * part
 
 
 def _clipped(mean: float, sure: float = SURE) -> tuple[float, float]:
     mu = min(max(mean, 0.0), sure)  # complaints may outweigh what was good
-    return mu, sqrt(mu * (1 - mu))
+    return mu, spread(mu)
