--- a/umbermoor/gateway/anemometer/front.py
+++ b/umbermoor/gateway/anemometer/front.py
@@ -24,6 +24,7 @@
 class _Service:
     record: Record | None = None
     got: int = 0  # when the record came
+    elapsed: float = 0.0  # seconds since the order that had passed then, at the least
     told: bool = False  # whether any news of this service came, be it that there is no order
     used: str | None = None  # the version in use where no order says more
     machines: list[tuple[str, str, int]] = field(default_factory=list)
@@ -84,6 +85,7 @@
             fresh = _Service(used=one.used, machines=one.machines, under_way=one.under_way, row=one.row,
                              rate=one.rate, rated=one.rated, told=True, since=now)
             one = self.services[service] = fresh
+        one.elapsed = max(record["elapsed"], one.elapsed + (now - one.got) / SECOND if one.record else 0.0)
         one.record, one.got = record, now
 
     def listed(self, now: int, service: str, machines: Sequence[tuple[str, str, int]]) -> None:
@@ -127,9 +129,14 @@
         sound = [id for id in warm if not self._aside(now, one, id)] or warm
         if record["stage"]:
             return tuple(sound[:busy(record["stage"], self._before(one))])
-        turn = int(record["elapsed"] * SECOND + now - one.got) // TURN
+        turn = int(one.elapsed * SECOND + now - one.got) // TURN
         return tuple(sound[:2][turn % 2:][:1] or sound[:1])
 
+    def target(self, service: str) -> str | None:
+        """The new version that an order under way names."""
+        one = self._of(service)
+        return one.record["target"] if one.record is not None and self._running(one) else None
+
     def _aside(self, now: int, one: _Service, id: str) -> bool:
         row, at = one.row.get(id, (0, 0))
         return row >= IN_ROW and now - at < ASIDE
@@ -233,6 +240,7 @@
             warm = sum(revision == target and now - at >= FRESH for _, revision, at in one.machines)
             reports.append({
                 "service": service, "target": target, "order": record["order"], "stage": last[0], "since": one.since,
+                "elapsed": round(one.elapsed + (now - one.got) / SECOND, 3),
                 "vote": vote, "counts": {"trial": list(new), "base": list(one.scores[False])},
                 "each": {id: list(count) for id, count in one.each.items()}, "before": before, "asked": one.asked,
                 "listed": [sum(revision == base for _, revision, _ in one.machines), warm]})
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -44,6 +44,7 @@
         self.register: dict[str, Any] = {}
         self.revision = 0  # of the configuration held whole
         self.offered = 0  # and of the newest one heard of
+        self.head = ""  # the member where puts enter, as last told
         self._want_at = 0
 
     def due(self, now: int) -> list[str]:
@@ -80,7 +81,7 @@
             life, number, entries = int(message["life"]), int(message["number"]), message["machines"]
             version = (int(message["register"][0]), int(message["register"][1]))
             keys, members, firm = dict(message["keys"]), [str(one) for one in message["everyone"]], message["firm"]
-            offered = int(message["revision"])
+            offered, head = int(message["revision"]), str(message["head"])
         except (KeyError, TypeError, ValueError, IndexError):
             return None
         source.asked, source.heard, source.life, source.number = None, now, life, number
@@ -91,6 +92,8 @@
             self._members(members)
         changed = merged(filter(None, map(entry_of, entries if isinstance(entries, list) else [])), self.machines)
         register = {}
+        if firm is True and version >= self.version:
+            self.head = head
         if version > self.version:
             self.version = version
             register = {key: value for key, value in keys.items() if self.register.get(key) != value}
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import json
 import random
 import signal
 import time
@@ -11,6 +12,8 @@
 from umbermoor.gateway.almanac.configuration import check_slowly, read
 from umbermoor.gateway.almanac.faults import Fault
 from umbermoor.gateway.almanac.papers import Papers
+from umbermoor.gateway.anemometer.core import Steps
+from umbermoor.gateway.anemometer.plan import newer
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.store import Store
 from umbermoor.gateway.effects import Answer, Code, Effect, Send, Write
@@ -19,7 +22,7 @@
 from umbermoor.gateway.logbook.calls import Call, Desk, Reply, call, reply, wrong
 from umbermoor.gateway.mast.events import event
 from umbermoor.gateway.mast.post import Line, Post, frame
-from umbermoor.gateway.screen.registry import DRAINING, Entry, Registry, beat_of, entry_of
+from umbermoor.gateway.screen.registry import DRAINING, READY, SILENT, Entry, Registry, beat_of, entry_of
 
 SECOND = 1_000_000
 TICK = 0.05  # s
@@ -27,12 +30,12 @@
 HEARD = 0.7  # s: for a majority to note what may not be lost
 LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
 STATUS = {Code.OK: 200, Code.LATER: 503, Code.CLASH: 409, Code.WRONG: 422, Code.UNKNOWN: 404}
-CONFIG = "config"
+CONFIG, ROLLOUT = "config", "rollout/"
 
 
 def admit(key: str, old: Any, new: Any) -> bool:
     """Whether a put changes anything: of configurations the highest version holds."""
-    return key != CONFIG or old is None or new["revision"] > old["revision"]
+    return newer(new, old) if key != CONFIG else old is None or new["revision"] > old["revision"]
 
 
 class Core:
@@ -44,7 +47,7 @@
         self.member = Member(papers.ip, seeds, papers.bear_machines, papers.cold, self.store.load(), admit, chance)
         self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
         self.pulls = Pulls(seeds, papers.ip)
-        self.teller = Teller()
+        self.teller, self.steps, self.learnt = Teller(), Steps(), (0, 0)
         self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
         self.asks: dict[int, asyncio.Future] = {}
         self.heards: dict[int, tuple[set[str], asyncio.Event]] = {}
@@ -115,6 +118,39 @@
         self.tell_soon()
         return Reply(200) if self.member.connected and await self.note(entry) else LATER
 
+    @call("POST", "/Rollouts.Begin")
+    async def begin(self, ask: Call) -> Reply:
+        try:
+            body = ask.json()
+            service, target, ramp = body["service"], body["target"], body["rampS"]
+        except (ValueError, RecursionError, TypeError, KeyError) as error:
+            return wrong(400, f"a roll-out names service, target and rampS: {error}")
+        if not isinstance(service, str) or not 0 < len(service) <= 200 or not isinstance(target, str):
+            return wrong(400, "service, target: not texts")
+        if not self.member.connected:
+            return LATER
+        present = [entry.revision for entry in self.registry.entries.values()
+                   if entry.service == service and entry.state in (READY, SILENT)]
+        if not present and CONFIG in self.member.committed and service not in json.loads(
+                self.member.committed[CONFIG]["text"])["services"]:
+            return wrong(404, f"service: unknown, {service}")
+        record = self.steps.begin(self.now(), service, target, ramp, present)
+        if isinstance(record, Code):
+            return reply(STATUS[record])
+        answer = await self.ask(lambda now, number: self.member.put(now, number, ROLLOUT + service, record))
+        event("begin", service=service, target=target, ramp_s=ramp, code=answer.code.value)
+        return reply(STATUS[answer.code])
+
+    @call("GET", "/Rollouts.Read/")
+    async def rollout(self, ask: Call) -> Reply:
+        answer = await self.ask(self.member.read)
+        if answer.code is not Code.OK:
+            return LATER
+        record = answer.value.get(ROLLOUT + ask.name)
+        if record is None:
+            return wrong(404, f"no roll-out of {ask.name}")
+        return reply(200, {"state": record["state"], "target": record["target"]})
+
     @call("GET", "/Story")
     async def story(self, ask: Call) -> Reply:
         return reply(200, {**self.member.story(), "machines": len(self.registry.entries),
@@ -177,6 +213,12 @@
                 held[0].add(line.peer)
                 if self.enough(message["number"]):
                     held[1].set()
+        elif kind == "reports" and isinstance(message.get("reports"), list):
+            for report in message["reports"]:
+                try:
+                    self.steps.report(now, line.peer, report)
+                except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+                    event("garbled", what="report", source=line.peer, why=error)
         elif kind == "chain" and isinstance(message.get("body"), dict):
             self.carry(self.member.message(now, line.peer, message["body"]))
 
@@ -200,6 +242,11 @@
                 future = self.asks.get(effect.ask)
                 if future is not None and not future.done():
                     future.set_result(effect)
+        if self.member.version != self.learnt:
+            self.learnt = self.member.version
+            for key, record in self.member.committed.items():
+                if key.startswith(ROLLOUT):
+                    self.steps.record(self.now(), key[len(ROLLOUT):], record)
         if effects:
             self.tell_soon()
 
@@ -210,6 +257,10 @@
             event("unwritten", token=token)
             self.carry(self.member.unwritten(self.now(), token))
 
+    def head(self) -> str:
+        """The member where puts enter, as far as it is known here."""
+        return next(iter(self.member.story()["chain"]), "")
+
     def tell_soon(self) -> None:
         if not self.telling:
             self.telling = True
@@ -227,7 +278,7 @@
             line.send(frame({
                 "kind": "news", "life": registry.life, "number": registry.number, "machines": registry.after(known),
                 "register": list(member.version), "keys": keys if pull["register"] != list(member.version) else {},
-                "everyone": list(member.everyone), "firm": member.connected, "revision": revision}))
+                "everyone": list(member.everyone), "head": self.head(), "firm": member.connected, "revision": revision}))
             if pull.get("want") and revision > pull["revision"]:
                 if self.body[0] != revision:
                     self.body = revision, frame({"kind": "body", "text": config["text"]})
@@ -261,6 +312,10 @@
             now = self.now()
             self.carry(self.member.tick(now))
             self.pulls.everyone = self.member.everyone
+            if self.member.connected and self.head() == self.papers.ip:
+                for service, record in self.steps.tick(now):
+                    self.number += 1
+                    self.carry(self.member.put(now, self.number, ROLLOUT + service, record))
             self.registry.tick(now, self.member.connected)
             for name in self.member.everyone:
                 if name != self.papers.ip and name not in self.pulls.sources:
--- a/umbermoor/gateway/mast/events.py
+++ b/umbermoor/gateway/mast/events.py
@@ -5,7 +5,9 @@
 
 def start(program: str, node: str) -> None:
     """Sets the form of the lines. absl is loaded here, not by importing this."""
-    from absl import logging
+    from absl import flags, logging
+
+    flags.FLAGS.mark_as_parsed()  # there are none; else each process says so
 
     class Pairs(logging.PythonFormatter):
         def format(self, record) -> str:
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -10,6 +10,7 @@
 
 from umbermoor.gateway.almanac.papers import Papers
 from umbermoor.gateway.almanac.routes import Route, Routes
+from umbermoor.gateway.anemometer.front import Trials
 from umbermoor.gateway.heliograph.reader import Reader as Pulls
 from umbermoor.gateway.mast.clients import ClientLine, request_bytes
 from umbermoor.gateway.mast.events import event
@@ -18,7 +19,7 @@
 from umbermoor.gateway.mast.ready import ReadyLine
 from umbermoor.gateway.raingauge.budget import Budget
 from umbermoor.gateway.vane.exchange import Exchange, Fate, Relay, Told, Wait
-from umbermoor.gateway.vane.plants import Plants
+from umbermoor.gateway.vane.plants import Plant, Plants
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Request, Response
 
@@ -45,9 +46,9 @@
     def __init__(self, papers: Papers, chance: random.Random) -> None:
         self.papers, self.chance = papers, chance
         self.clock = time.monotonic
-        self.plants, self.routes = Plants(), None
+        self.plants, self.trials, self.routes = Plants(), Trials(), None
         self.buffers = Buffers(papers.memory_mb << 20)
-        self.pool = Pool(self.buffers, self.clock, lambda plant: self.plants.may(self.now(), plant))
+        self.pool = Pool(self.buffers, self.clock, self.may)
         self.pulls = Pulls([seed.rpartition(":")[0] for seed in papers.seeds])
         self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
         self.lines: set[ClientLine] = set()
@@ -79,8 +80,14 @@
         exchange = Exchange(service, route.safe, route.tries, now, now + min(left, route.horizon_us))
         going = self.going[id(slot)] = Going(line, slot, request, route, exchange)
         self.budget(service).request(now)
+        self.trials.asked(now, service)
         self.go(going)
 
+    def may(self, plant: Plant) -> bool:
+        """The gate right before every send."""
+        now = self.now()
+        return self.plants.may(now, plant) and self.trials.allowed(now, plant.entry.service, plant.entry.revision)
+
     def budget(self, service: str) -> Budget:
         held = self.budgets.get(service)
         if held is None:
@@ -97,8 +104,7 @@
             if second and budget.left(now) < 1:
                 exchange.hedge_at = exchange.due
                 break
-            plant = self.plants.choose(now, exchange.service, exchange.revision, exchange.tried, self.chance.random,
-                                       exchange.due - now)
+            plant = self.choose(now, exchange, second)
             if plant is None or plant.id in exchange.tried and exchange.out:
                 exchange.hedge_at = exchange.due
                 break
@@ -118,19 +124,32 @@
             self.finish(going, step.status, b"",
                         {} if step.retry_after is None else {"retry-after": f"{step.retry_after:g}"})
 
-    def hand(self, now: int, going: Going, plant) -> None:
+    def choose(self, now: int, exchange: Exchange, second: bool) -> Plant | None:
+        """The version's turn by the roll-out's share, then the machine within it."""
+        trials, service, chance = self.trials, exchange.service, self.chance.random
+        side = trials.side(now, service, chance(), second)
+        if side is None:
+            return None
+        wait = exchange.due - now
+        only = trials.machines(now, service) if side == trials.target(service) else ()
+        plant = self.plants.choose(now, service, side, only, exchange.tried, chance, wait)
+        return plant or only and self.plants.choose(now, service, side, (), exchange.tried, chance, wait) or None
+
+    def hand(self, now: int, going: Going, plant: Plant) -> None:
         exchange = going.exchange
         going.number += 1
         number = going.number
         usual = self.plants.usual.get(exchange.service, 100_000.0)
         exchange.attempt(now, number, plant, round(4 * usual * plant.pace))
         self.plants.sent(now, plant)
+        self.trials.sent(now, exchange.service, plant.entry.revision)
         data = request_bytes(going.request, plant.id, max(1, (exchange.due - now) // 1000))
         attempt = Attempt(data, going.request.headers.get("x-attempt-id", ""),
                           lambda fate, response: self.attempt_ended(going, number, plant, now, fate, response))
         self.pool.start(plant, attempt, not exchange.safe)
 
-    def attempt_ended(self, going: Going, number: int, plant, sent: int, fate: Fate, response: Response | None) -> None:
+    def attempt_ended(self, going: Going, number: int, plant: Plant, sent: int, fate: Fate,
+                      response: Response | None) -> None:
         now, plants = self.now(), self.plants
         plants.back(plant)
         if response is not None and (load := response.headers.get("x-load-level")):
@@ -146,6 +165,10 @@
             plant.heard = now
         else:
             plants.failed(now, plant, fate is Fate.UNSENT)
+        entry, unrun = plant.entry, fate in (Fate.UNSENT, Fate.FULL, Fate.WRONG)
+        self.trials.ended(now, entry.service, entry.revision, plant.id, plant.listed,
+                          now - sent <= going.route.setpoint_us, fate is not Fate.WHOLE or status >= 500,
+                          number > 1 or unrun)
         self.counts[fate.value] = self.counts.get(fate.value, 0) + 1
         going.exchange.ended(number, fate, response, status)
         if not going.exchange.closed:
@@ -178,6 +201,16 @@
                 return
             for plant in self.plants.take(now, heard.machines):
                 self.pool.drop(plant)
+            if message.get("firm") is True:
+                self.trials.heard(now)
+            for key, record in heard.register.items():
+                if key.startswith("rollout/"):
+                    self.trials.order(now, key[8:], record)
+                    event("rollout", service=key[8:], **{name: record[name] for name in ("state", "target", "stage")})
+            for service in self.plants.changed:
+                self.trials.listed(now, service, [(one.id, one.entry.revision, one.listed)
+                                                  for one in self.plants.listed(service)])
+            self.plants.changed.clear()
             if heard.want:
                 self.post.send(line.peer, self.pulls.pull(now, line.peer))
         elif kind == "body" and line.peer in self.pulls.sources:
@@ -229,6 +262,8 @@
             now = self.now()
             for name in self.pulls.due(now):
                 self.post.send(name, self.pulls.pull(now, name))
+            if self.pulls.head and (reports := self.trials.tick(now)):
+                self.post.send(self.pulls.head, {"kind": "reports", "reports": reports})
             if not self.ready:
                 self.ready = (self.routes is not None and self.pulls.offered <= self.pulls.revision
                               and self.pulls.firm_since(self.started)
