--- a/umbermoor/gateway/anemometer/core.py
+++ b/umbermoor/gateway/anemometer/core.py
@@ -10,18 +10,17 @@
 from math import exp, log, sqrt
 from typing import Any
 
-from umbermoor.gateway.anemometer.plan import (ALL, FIRST_MEAN, LEAST, MARGIN, SECOND, SIGMA, STARTS, SURE, Record,
-                                               earliest, newer)
+from umbermoor.gateway.anemometer.plan import (ALL, FIRST_MEAN, LEAST, LONE, MARGIN, SECOND, SIGMA, STARTS, SURE,
+                                               Record, earliest, newer, speaks)
 from umbermoor.gateway.effects import Code
 from umbermoor.ground.testroll import posterior, spread, weight
 
 WORSE = (0.1, 0.3, 0.6)  # shares of else good answers that bad versions are supposed to spoil
 ALARM = log(3000)  # the test's sum, for one of these, that sends back
 ECHO = log(10)  # and what must be left of it without one machine, and without one front
-DOUBT = ALARM / 2  # no step further with more left than this
-FADE = 1.5 * SECOND  # memory of the earlier version's outcomes, for what is usual now
+DOUBT = ALARM / 3  # no step further with more left than this
+FADE = 0.8 * SECOND  # memory of the earlier version's outcomes, for what is usual now
 LEAN, USUAL = 20.0, 0.02  # and a guess that it leans on: bad outcomes among so many
-LONE = 0.12  # bad answers that nothing is made of while no earlier version is there to compare with
 HEARD = SECOND  # reports older than this do not count among the fronts
 REST = SECOND  # after all fronts said that nothing goes to the old machines, before they may be stopped
 DWELL = 0.03  # a stage lasts this part of the time up to the term at least
@@ -126,6 +125,8 @@
         if last is None and len(held.fronts) >= FRONTS:
             del held.fronts[min(held.fronts, key=lambda one: held.fronts[one].at)]
         held.fronts[front] = _Told(now, report)
+        if report["elapsed"] > held.elapsed(now):  # fronts count on while the lead passes on
+            held.since = now - round((report["elapsed"] - held.record["elapsed"]) * SECOND)
         self._count(now, held, front, known, report)
 
     def _count(self, now: int, held: _Order, front: str, known: dict[str, Any], report: dict[str, Any]) -> None:
@@ -152,8 +153,7 @@
         if n <= 0:
             return
         for worse in WORSE:
-            share = usual + worse * (1 - usual)
-            more = bad * log(share / usual) + (n - bad) * log((1 - share) / (1 - usual))
+            more = speaks(usual, worse, n, bad)
             parts = held.parts[worse]
             held.sums[worse] += more
             if held.sums[worse] <= 0:
--- a/umbermoor/gateway/anemometer/front.py
+++ b/umbermoor/gateway/anemometer/front.py
@@ -2,11 +2,11 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from math import exp, sqrt
+from math import exp, log, sqrt
 from typing import Any, Sequence
 
-from umbermoor.gateway.anemometer.plan import (ALL, EXPOSED, FIRST_MEAN, FRESH, LEAST, MARGIN, SECOND, SHARES, SIGMA,
-                                               SURE, TURN, Record, busy, earliest, newer)
+from umbermoor.gateway.anemometer.plan import (ALL, EXPOSED, FIRST_MEAN, FRESH, LEAST, LONE, MARGIN, SECOND, SHARES,
+                                               SIGMA, SURE, TURN, Record, busy, earliest, newer, speaks)
 from umbermoor.ground.testroll import needed, posterior, spread, weight
 
 PATIENT = 4 * SECOND  # a stage is judged this long after its newest machine was listed, short of n* or not
@@ -17,6 +17,9 @@
 HEAVY = 0.25  # of the requests to the trial at most, where there are few machines
 IN_ROW = 3  # failures in a row that set a machine aside while there is another
 ASIDE = 2 * SECOND
+HOLD = SECOND * 3 // 2  # a front that sees enough bad answers itself keeps off for so long, whatever the core says
+OWN = log(300)  # enough: so much for WORSE, beyond what is usual here
+WORSE = 0.3
 NAMED = 12  # machines counted one by one in a report; the others together
 
 
@@ -36,6 +39,8 @@
     scores: dict[bool, list[int]] = field(default_factory=lambda: {True: [0, 0, 0], False: [0, 0, 0]})  # trial?
     each: dict[str, list[int]] = field(default_factory=dict)  # trial machine: outcomes, bad ones
     row: dict[str, tuple[int, int]] = field(default_factory=dict)  # machine: failures in a row, time of the last
+    against: float = 0.0  # what this front's own outcomes since the trial say against the new version
+    held_until: int = 0
     rate: float = 0.0  # requests in HORIZON / 2, faded
     rated: int = 0
     reported: int | None = None
@@ -112,9 +117,9 @@
         return one.record is not None and one.record["state"] == "running"
 
     def _stage(self, now: int, one: _Service) -> int:
-        """The stage this front acts by; -1 where it lacks news and leaves the trial alone."""
+        """The stage this front acts by; -1 where it lacks news, or saw too much, and leaves the trial alone."""
         stale = self.fresh_at is None or now - self.fresh_at > STALE
-        return -1 if stale else one.record["stage"]
+        return -1 if stale or now < one.held_until else one.record["stage"]
 
     def machines(self, now: int, service: str) -> tuple[str, ...]:
         """Ids of the new version's machines that carry its share now: few, so that their load is a real one."""
@@ -205,6 +210,12 @@
             name = machine if machine in one.each or len(one.each) < NAMED else ""
             count = one.each.setdefault(name, [0, 0])
             count[0], count[1] = count[0] + 1, count[1] + (not good)
+            if one.record["stage"]:
+                seen, fine, _ = one.scores[False]
+                usual = min(0.9, LONE + (seen - fine) / max(seen, LEAST))
+                one.against = max(0.0, one.against + speaks(usual, WORSE, 1, not good))
+                if one.against >= OWN:  # threat: the core is busy with its own loss while the version turns bad
+                    one.against, one.held_until = 0.0, now + HOLD
 
     def vote(self, now: int, service: str) -> str | None:
         """Test & Roll on own outcomes: "on", "back", or None while it cannot be judged."""
--- a/umbermoor/gateway/anemometer/plan.py
+++ b/umbermoor/gateway/anemometer/plan.py
@@ -3,16 +3,16 @@
 Why late and in steps: a version may turn bad at any moment, and then the share it has had since the order counts,
 so it keeps to a small part until late. Steps are short: a version that turns bad only at one of them is sent back
 by pooled counts within half a second, and with 341 requests a second and 12 s all it received stays below 0.1 of
-them + 50: 0.045 x 8.4 s, 0.2 x 0.55 s, 0.45 x 0.45 s and 1 x 0.5 s come to 411 of at most 459."""
+them + 50: 0.045 x 8.0 s, 0.2 x 0.55 s, 0.45 x 0.5 s and 1 x 0.5 s come to 408 of at most 459."""
 
 import re
-from math import ceil
+from math import ceil, log
 from typing import Any, Sequence
 
 SECOND = 1_000_000
 EXPOSED = 0.045  # of a front's own requests, since it knew of the order, go to the trial at most
 SHARES = (EXPOSED, 0.2, 0.45, 1.0)  # of the requests at each stage
-STARTS = (0.0, 0.7, 0.745, 0.785)  # stages begin at these parts of the time up to the term
+STARTS = (0.0, 0.67, 0.715, 0.755)  # stages begin at these parts of the time up to the term
 ALL = len(SHARES) - 1
 FRESH = 3 * SECOND  # outcomes of machines listed more recently than this do not count
 TURN = SECOND  # so long one machine carries the trial, then the other
@@ -20,6 +20,7 @@
 MARGIN = 0.02  # the fixed part of the lead that the earlier one needs for a vote back
 LEAST = 10  # outcomes below which nothing is judged by its mean
 FIRST_MEAN = 0.9  # the earlier version's mean until it has LEAST outcomes
+LONE = 0.08  # bad answers that nothing is made of while no earlier version is there to compare with
 SURE = 0.985  # a mean above this is taken for this, so that s never vanishes
 
 Record = dict[str, Any]  # order, serial, target, from, rampS, state, stage, elapsed, why; of what JSON can hold
@@ -40,3 +41,9 @@
 def busy(stage: int, machines: int) -> int:
     """How many machines carry the new version's share, so that each has a load like one of the `machines` before."""
     return max(2, ceil(SHARES[stage] * machines)) if stage else 1
+
+
+def speaks(usual: float, worse: float, n: int, bad: int) -> float:
+    """Log-likelihood ratio of n outcomes, some bad: that so many more are spoilt, against the usual share of bad."""
+    share = usual + worse * (1 - usual)
+    return bad * log(share / usual) + (n - bad) * log((1 - share) / (1 - usual))
