--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -22,7 +22,8 @@
 from umbermoor.gateway.logbook.calls import Call, Desk, Reply, call, reply, wrong
 from umbermoor.gateway.mast.events import event
 from umbermoor.gateway.mast.post import Line, Post, frame
-from umbermoor.gateway.screen.registry import DRAINING, READY, SILENT, Entry, Registry, beat_of, entry_of
+from umbermoor.gateway.screen.registry import (DRAINING, READY, SILENT, STANDINGS, Entry, Registry, beat_of,
+                                                entry_of)
 
 SECOND = 1_000_000
 TICK = 0.05  # s
@@ -154,7 +155,18 @@
     @call("GET", "/Story")
     async def story(self, ask: Call) -> Reply:
         return reply(200, {**self.member.story(), "machines": len(self.registry.entries),
-                           "connected": self.member.connected, "pulls": len(self.teller.waiting)})
+                           "connected": self.member.connected, "pulls": len(self.teller.waiting),
+                           "name": self.papers.name, "everyone": list(self.member.everyone)})
+
+    @call("GET", "/Machines")
+    async def machines(self, ask: Call) -> Reply:
+        """What this member knows of the machines, by id; `heardS`: how long since it last changed here."""
+        now, registry = self.now(), self.registry
+        return reply(200, {"machines": {
+            one.id: {"service": one.service, "address": one.address, "zone": one.zone, "revision": one.revision,
+                     "capacity": one.capacity, "state": STANDINGS[one.state],
+                     "heardS": round((now - registry.heard(one.id)) / SECOND, 3)}
+            for one in registry.entries.values()}})
 
     async def ask(self, put: Any) -> Answer:
         """Passes a call to the chain and waits for its end."""
--- a/umbermoor/gateway/mast/post.py
+++ b/umbermoor/gateway/mast/post.py
@@ -135,7 +135,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT):
-                _, line = await loop.create_connection(lambda: Line(self, to), to, self.port)
+                # Members know each other by address; on loopback all would call from the same one.
+                mine = (self.ip, 0) if self.ip.startswith("127.") else None
+                _, line = await loop.create_connection(lambda: Line(self, to), to, self.port, local_addr=mine)
         except (OSError, TimeoutError):
             self.outgoing.pop(to, None)
             line = Line(self, to)
--- a/umbermoor/gateway/screen/registry.py
+++ b/umbermoor/gateway/screen/registry.py
@@ -7,6 +7,7 @@
 from typing import Any, Iterable
 
 READY, SILENT, DRAINING, GONE = range(4)  # how an entry stands; of one sample the higher one holds
+STANDINGS = "ready", "silent", "draining", "gone"  # their names, for operators
 STATES = {"ready": READY, "draining": DRAINING}
 SILENCE = 3.4  # beats missed in a row after which a machine counts as silent
 KEPT = 40_000_000  # how long what is gone is remembered (us): longer than any news is under way
@@ -104,6 +105,10 @@
         self.take(now, entry)
         return entry
 
+    def heard(self, id: str) -> int:
+        """When the entry of a known machine last changed here."""
+        return self._heard[id]
+
     def after(self, number: int) -> list[list[Any]]:
         """What changed after that number, the newest last."""
         changed = [(at, id) for id, at in self._numbers.items() if at > number]
