--- /dev/null
+++ b/umbermoor/gateway/logbook/command.py
@@ -0,0 +1,299 @@
+"""The command line: the daemons, checks of files, and operators' calls. Prints lines; the exit status says how it ended.
+
+0 done, 1 refused (the line says why), 2 bad input, 3 nobody answered.
+"""
+
+import json
+import sys
+import time
+from enum import IntEnum
+from pathlib import Path
+from typing import Annotated, Any, Iterable
+from urllib.parse import quote
+
+from cyclopts import App, CycloptsError, Parameter
+
+from umbermoor.gateway.almanac.configuration import parse
+from umbermoor.gateway.almanac.faults import Fault
+from umbermoor.gateway.almanac.papers import read_papers
+from umbermoor.gateway.logbook.caller import Caller, Nobody, Told
+
+LOOK = 0.5  # s between two looks at a roll-out
+
+
+class Exit(IntEnum):
+    DONE, REFUSED, BAD, NOBODY = range(4)
+
+
+def _places(type_: Any, places: tuple[str, ...]) -> None:
+    for place in places:
+        ip, _, port = place.rpartition(":")
+        if not ip or not port.isdecimal() or not 0 < int(port) < 65536:
+            raise ValueError(f"must be ip:port, not {place!r}")
+
+
+At = Annotated[tuple[str, ...], Parameter(
+    name="--at", env_var="UMBERMOOR_AT", validator=_places, negative=(),
+    help="A control address, ip:port; may be repeated, or UMBERMOOR_AT holds several between spaces.")]
+Within = Annotated[float, Parameter(name="--within-s", help="Seconds until a call that nobody answers is given up.")]
+
+app = App(name="umbermoor.gateway", help="The gateway's programs and operators' calls.\n\n"
+          "Exit status: 0 done, 1 refused, 2 bad input, 3 nobody answered.", version_flags=[])
+check = App(name="check", help="Says what is wrong with a file first, or that it is sound.")
+configuration = App(name="configuration", help="The configuration in force.")
+rollout = App(name="rollout", help="Moves a service to another version of its machines.")
+for part in (check, configuration, rollout):
+    app.command(part)
+
+
+def _say(line: str) -> None:
+    print(line, flush=True)
+
+
+def _complain(line: str, exit: Exit) -> Exit:
+    print(line, file=sys.stderr, flush=True)
+    return exit
+
+
+def _ended(told: Told | Nobody) -> Exit:
+    """How a call ended that did not do what it should; says why."""
+    if isinstance(told, Nobody):
+        return _complain(f"nobody answered; the last: {told.why}", Exit.NOBODY)
+    return _complain(f"refused by {told.at} with {told.status}{_why(told.body)}", Exit.REFUSED)
+
+
+def _why(body: bytes) -> str:
+    held = _table(body)
+    return f": {held['error']}" if held and "error" in held else ""
+
+
+def _table(body: bytes) -> dict[str, Any] | None:
+    try:
+        held = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    return held if isinstance(held, dict) else None
+
+
+def _read_file(path: Path) -> bytes | Fault:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        return Fault("", str(path), error.strerror or "cannot be read")
+
+
+@app.command(name="vane")
+def vane() -> int:
+    """Carries requests. Reads the settings file that UMBERMOOR_SETTINGS names."""
+    from umbermoor.gateway.__main__ import run
+    return run("vane")
+
+
+@app.command(name="barograph")
+def barograph() -> int:
+    """Keeps what must last. Reads the settings file that UMBERMOOR_SETTINGS names."""
+    from umbermoor.gateway.__main__ import run
+    return run("barograph")
+
+
+@app.command(name="local")
+def local(*, stay: bool = False, kill_head: bool = False) -> int:
+    """A whole gateway on loopback with stand-in machines, and one request through it. Linux only.
+
+    Parameters
+    ----------
+    stay
+        Keeps it up until Ctrl-C and prints its addresses.
+    kill_head
+        Kills the head of the chain in between, and reads the configuration again.
+    """
+    from umbermoor.gateway.plot.local import main as play
+    return play(stay, kill_head)
+
+
+@check.command(name="settings")
+def check_settings(file: Path) -> int:
+    """Checks a settings file."""
+    papers = read_papers(str(file))
+    if isinstance(papers, Fault):
+        return _complain(str(papers), Exit.BAD)
+    _say(f"{file}: sound, {papers.name} in {papers.zone}")
+    return Exit.DONE
+
+
+@check.command(name="configuration")
+def check_configuration(file: Path) -> int:
+    """Checks a configuration."""
+    raw = _read_file(file)
+    held = raw if isinstance(raw, Fault) else parse(raw)
+    if isinstance(held, Fault):
+        return _complain(str(held), Exit.BAD)
+    _say(f"{file}: sound, revision {held.body['revision']}, {len(held.body['routes'])} routes")
+    return Exit.DONE
+
+
+@configuration.command(name="read")
+def configuration_read(*, at: At, to: Path | None = None, within_s: Within = 8.0) -> int:
+    """Reads the newest configuration.
+
+    Parameters
+    ----------
+    to
+        A file to write it to, else it is printed.
+    """
+    told = Caller(at, within_s).call("GET", "/Config.Read")
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    if to is None:
+        _say(told.body.decode())
+        return Exit.DONE
+    try:
+        to.write_bytes(told.body)
+    except OSError as error:
+        return _complain(f"{to}: {error.strerror}", Exit.BAD)
+    _say(f"{to}: revision {(_table(told.body) or {}).get('revision')}")
+    return Exit.DONE
+
+
+@configuration.command(name="replace")
+def configuration_replace(file: Path, *, at: At, within_s: Within = 20.0) -> int:
+    """Checks a configuration and puts it. One that is not above the one held changes nothing, and is taken too."""
+    raw = _read_file(file)
+    held = raw if isinstance(raw, Fault) else parse(raw)
+    if isinstance(held, Fault):
+        return _complain(str(held), Exit.BAD)
+    caller = Caller(at, within_s)
+    told = caller.call("POST", "/Config.Replace", raw)
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    revision = held.body["revision"]
+    newest = caller.call("GET", "/Config.Read")
+    now = (_table(newest.body) or {}).get("revision") if isinstance(newest, Told) and newest.done else None
+    if isinstance(now, str) and now.lower() != revision.lower():
+        _say(f"taken by {told.at}: revision {revision}; in force is {now}")
+    else:
+        _say(f"taken by {told.at}: revision {revision}")
+    return Exit.DONE
+
+
+@rollout.command(name="begin")
+def rollout_begin(service: str, target: str, *, ramp_s: float, at: At, within_s: Within = 5.0) -> int:
+    """Orders a roll-out.
+
+    Parameters
+    ----------
+    service
+        The service.
+    target
+        The version to move to.
+    ramp_s
+        Seconds that the move should take.
+    """
+    body = json.dumps({"service": service, "target": target, "rampS": ramp_s}).encode()
+    told = Caller(at, within_s).call("POST", "/Rollouts.Begin", body)
+    if isinstance(told, Told) and told.status == 409 and told.tries > 1:  # an earlier try got through, or another's
+        _say(f"under way: {service}, as {told.at} says; see rollout read")
+        return Exit.DONE
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    _say(f"taken by {told.at}: {service} to {target}")
+    return Exit.DONE
+
+
+def _rollout(caller: Caller, service: str) -> dict[str, Any] | Exit:
+    told = caller.call("GET", f"/Rollouts.Read/{quote(service, safe='')}")
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    return _table(told.body) or {}
+
+
+@rollout.command(name="read")
+def rollout_read(service: str, *, at: At, within_s: Within = 5.0) -> int:
+    """Says how a roll-out stands."""
+    held = _rollout(Caller(at, within_s), service)
+    if isinstance(held, Exit):
+        return held
+    _say(f"{service} {held.get('state')} {held.get('target')}")
+    return Exit.DONE
+
+
+@rollout.command(name="watch")
+def rollout_watch(service: str, *, at: At, within_s: Within = 20.0) -> int:
+    """A line for each change of a roll-out until it ends; exit status 1 where it was reverted."""
+    caller, begun, shown = Caller(at, within_s), time.monotonic(), None
+    while True:
+        held = _rollout(caller, service)
+        if isinstance(held, Exit):
+            return held
+        stand = held.get("state"), held.get("target")
+        if stand != shown:
+            shown = stand
+            _say(f"{time.monotonic() - begun:.1f} s {service} {stand[0]} {stand[1]}")
+        if stand[0] != "running":
+            return Exit.REFUSED if stand[0] == "reverted" else Exit.DONE
+        time.sleep(LOOK)
+
+
+def members(caller: Caller, at: Iterable[str]) -> dict[str, dict[str, Any] | Nobody]:
+    """What each member says of itself, by control address; members that one names are asked too, at the same port."""
+    found: dict[str, dict[str, Any] | Nobody] = {}
+    asked = list(at)
+    for place in asked:
+        if place in found:
+            continue
+        told = caller.once(place, "GET", "/Story")
+        if isinstance(told, Told) and told.done and (story := _table(told.body)) is not None:
+            found[place] = story
+            asked.extend(f"{ip}:{place.rpartition(':')[2]}" for ip in story.get("everyone", ()))
+        else:
+            found[place] = told if isinstance(told, Nobody) else Nobody(f"{place}: answered {told.status}")
+    return found
+
+
+@app.command(name="story")
+def story(*, at: At) -> int:
+    """A line for each member of the core: its view of the chain, its place, what it holds.
+
+    Well is: as many members as there should be, one epoch and one chain, none blank. Exit status 3 if none answered.
+    """
+    found = members(Caller(at), at)
+    for place, held in found.items():
+        if isinstance(held, Nobody):
+            _say(f"{place} silent: {held.why}")
+            continue
+        chain = ",".join(held.get("chain") or ()) or "none"
+        version = ".".join(map(str, held.get("version") or ()))
+        _say(f"{place} {held.get('name', '')} epoch={held.get('epoch')} chain={chain} role={held.get('role')} "
+             f"version={version} machines={held.get('machines')} connected={str(held.get('connected')).lower()}")
+    return Exit.DONE if any(isinstance(held, dict) for held in found.values()) else Exit.NOBODY
+
+
+@app.command(name="machines")
+def machines(*, at: At, service: str | None = None, within_s: Within = 5.0) -> int:
+    """A line for each machine that a member knows: id, service, address, zone, version, state, seconds since heard.
+
+    Parameters
+    ----------
+    service
+        Only machines of this service.
+    """
+    told = Caller(at, within_s).call("GET", "/Machines")
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    listed = (_table(told.body) or {}).get("machines", {})
+    for id, one in sorted(listed.items(), key=lambda item: (item[1]["service"], item[0])):
+        if service is None or one["service"] == service:
+            _say(f"{id} {one['service'] or '-'} {one['address'] or '-'} {one['zone'] or '-'} {one['revision'] or '-'} "
+                 f"{one['state']} {one['heardS']:.1f}")
+    return Exit.DONE
+
+
+def main(tokens: list[str] | None = None) -> int:
+    """Runs one command; returns its exit status. `tokens`: its words, else those of the process."""
+    try:
+        command, bound, *_ = app.parse_args(tokens, exit_on_error=False, print_error=False)
+        return int(command(*bound.args, **bound.kwargs) or 0)
+    except CycloptsError as error:
+        return _complain(" ".join(str(error).split()), Exit.BAD)
+    except KeyboardInterrupt:
+        return _complain("interrupted", Exit.REFUSED)
