--- a/umbermoor/gateway/mast/clients.py
+++ b/umbermoor/gateway/mast/clients.py
@@ -13,11 +13,13 @@
                  "trailer", "transfer-encoding", "upgrade", "content-length"))
 
 
-def answer_bytes(status: int, body: bytes, headers: dict[str, str], keep: int) -> bytes:
-    """An answer; keep: for how many whole seconds the connection may stay idle, 0 closes it."""
+def answer_bytes(status: int, body: bytes, headers: dict[str, str], keep: int, bodiless: bool = False) -> bytes:
+    """An answer; keep: for how many whole seconds the connection may stay idle, 0 closes it. bodiless: to a HEAD."""
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, '')}"]
     lines.extend(f"{name}: {value}" for name, value in headers.items() if name not in HOP)
-    lines.append(f"content-length: {len(body)}")
+    length = headers.get("content-length", "0") if bodiless else len(body)
+    if status >= 200 and status not in (204, 304):
+        lines.append(f"content-length: {length}")
     lines.append(f"keep-alive: timeout={keep}" if keep else "connection: close")
     lines.append("\r\n")
     return "\r\n".join(lines).encode("latin-1") + body
@@ -43,7 +45,7 @@
 
     def __init__(self, front: Any) -> None:
         self.front, self.transport, self.timer = front, None, None
-        self.reader = Reader(front.buffers)
+        self.reader = Reader(front.buffers, body_most=front.body_most)
         self.row: list[list] = []  # [request, (status, body, headers) or None, started], oldest first
         self.closing = self.halted = False
         self.at = 0.0
@@ -97,10 +99,11 @@
     def _flush(self) -> None:
         ready = []
         while self.row and self.row[0][1] is not None:
-            status, body, headers = self.row.pop(0)[1]
+            request, (status, body, headers), _ = self.row.pop(0)
             last = not self.row and (self.closing or self.front.leaving)
             self.closing = self.closing or last
-            ready.append(answer_bytes(status, body, headers, 0 if last else self.front.keep_s))
+            bodiless = request is not None and request.method == "HEAD"
+            ready.append(answer_bytes(status, body, headers, 0 if last else self.front.keep_s, bodiless))
         if ready:
             self.transport.write(b"".join(ready))
             self.at = self.front.clock()
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -31,7 +31,8 @@
 HEARD = 0.7  # s: for a majority to note what may not be lost
 LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
 STATUS = {Code.OK: 200, Code.LATER: 503, Code.CLASH: 409, Code.WRONG: 422, Code.UNKNOWN: 404}
-CONFIG, ROLLOUT = "config", "rollout/"
+CONFIG, ROLLOUT, MACHINES = "config", "rollout/", "machines"
+SAVE = SECOND  # us: the list of machines is written no more often
 
 
 def admit(key: str, old: Any, new: Any) -> bool:
@@ -45,8 +46,13 @@
         self.store = Store(papers.data_dir or "", round(papers.disk_mb * 0.6) << 20)
         self.disk = ThreadPoolExecutor(1)
         seeds = [seed.rpartition(":")[0] for seed in papers.seeds]
-        self.member = Member(papers.ip, seeds, papers.bear_machines, papers.cold, self.store.load(), admit, chance)
+        stored = self.store.load()
+        machines = json.loads(stored.pop(MACHINES, b"[]"))
+        self.member = Member(papers.ip, seeds, papers.bear_machines, papers.cold, stored, admit, chance)
         self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
+        for entry in filter(None, map(entry_of, machines)):
+            self.registry.take(self.now(), entry)
+        self.saved, self.saved_at, self.saving = self.registry.shape, 0, False
         self.pulls = Pulls(seeds, papers.ip)
         self.teller, self.steps, self.learnt = Teller(), Steps(), (0, 0)
         self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
@@ -273,6 +279,18 @@
         """The member where puts enter, as far as it is known here."""
         return next(iter(self.member.story()["chain"]), "")
 
+    def save(self, now: int) -> None:
+        """Keeps the list of machines, so that a restart of all members does not begin with none. Lost, it is refilled."""
+        if self.saving or self.registry.shape == self.saved or now - self.saved_at < SAVE:
+            return
+        self.saving, self.saved, self.saved_at = True, self.registry.shape, now
+        puts = {MACHINES: json.dumps(self.registry.kept(), separators=(",", ":")).encode()}
+
+        def done(_: Any) -> None:
+            self.saving = False
+
+        asyncio.get_running_loop().run_in_executor(self.disk, self.store.write, puts).add_done_callback(done)
+
     def tell_soon(self) -> None:
         if not self.telling:
             self.telling = True
@@ -329,6 +347,7 @@
                     self.number += 1
                     self.carry(self.member.put(now, self.number, ROLLOUT + service, record))
             self.registry.tick(now, self.member.connected)
+            self.save(now)
             for name in self.member.everyone:
                 if name != self.papers.ip and name not in self.pulls.sources:
                     self.pulls._members(list(self.member.everyone))
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -28,7 +28,7 @@
 WAY = 10_000  # us: taken off what a client says it waits, for the way there and back
 FIRST = 3 * SECOND  # us: ready without any machine known, where none came within this
 LINGER = 2.6  # s: after SIGTERM until idle connections are closed; the platform looks once a second
-HEAD = 1 << 20  # bytes of memory for messages partly read, at least
+BODY_MOST = 8 << 20  # bytes of a request's body: it is held whole until it is handed to a machine
 
 
 class Going:
@@ -46,7 +46,7 @@
     def __init__(self, papers: Papers, chance: random.Random) -> None:
         self.papers, self.chance = papers, chance
         self.clock = time.monotonic
-        self.plants, self.trials, self.routes = Plants(), Trials(), None
+        self.plants, self.trials, self.routes = Plants(papers.zone), Trials(), None
         self.buffers = Buffers(papers.memory_mb << 20)
         self.pool = Pool(self.buffers, self.clock, self.may)
         self.pulls = Pulls([seed.rpartition(":")[0] for seed in papers.seeds])
@@ -55,7 +55,7 @@
         self.going: dict[int, Going] = {}  # by id of its slot
         self.budgets: dict[str, Budget] = {}
         self.leaving, self.ready, self.started = False, False, self.now()
-        self.keep_s, self.idle_s, self.head_s = 10, 15.0, 3.0
+        self.keep_s, self.idle_s, self.head_s, self.body_most = 10, 15.0, 3.0, BODY_MOST
         self.ended = asyncio.Event()
         self.counts: dict[str, int] = {}
 
@@ -75,7 +75,7 @@
             line.told(slot, 404, b"", {})
             return
         told = request.headers.get("x-time-remaining", "")
-        left = int(told) * 1000 - WAY if told.isdigit() and len(told) < 9 else route.horizon_us
+        left = int(told) * 1000 - WAY if told.isdecimal() and len(told) < 9 else route.horizon_us
         service = route.service_for(self.chance.random())
         exchange = Exchange(service, route.safe, route.tries, now, now + min(left, route.horizon_us))
         going = self.going[id(slot)] = Going(line, slot, request, route, exchange)
@@ -145,7 +145,8 @@
         self.trials.sent(now, exchange.service, plant.entry.revision)
         data = request_bytes(going.request, plant.id, max(1, (exchange.due - now) // 1000))
         attempt = Attempt(data, going.request.headers.get("x-attempt-id", ""),
-                          lambda fate, response: self.attempt_ended(going, number, plant, now, fate, response))
+                          lambda fate, response: self.attempt_ended(going, number, plant, now, fate, response),
+                          going.request.method == "HEAD")
         self.pool.start(plant, attempt, not exchange.safe)
 
     def attempt_ended(self, going: Going, number: int, plant: Plant, sent: int, fate: Fate,
@@ -230,6 +231,7 @@
         self.pulls.revision = max(self.pulls.revision, routes.revision)
         envelope = routes.envelope
         self.idle_s, self.head_s = envelope.idle_us / SECOND + 1.0, envelope.header_us / SECOND
+        self.body_most = min(BODY_MOST, envelope.body_bytes)
         self.keep_s = max(1, round(envelope.idle_us / SECOND) - 1)
         event("configured", revision=routes.revision_text, source="news")
 
--- a/umbermoor/gateway/mast/lines.py
+++ b/umbermoor/gateway/mast/lines.py
@@ -14,16 +14,19 @@
 IDLE = 8.0  # s: kept no longer where the machine names no time
 IDLE_ONCE = 2.0  # s: for requests that may run only once
 SPARE = 1.0  # s: closed so long before the machine would
+ANSWER_MOST = 8 << 20  # bytes of an answer's body: it is held whole before any of it goes on
 KEPT = 6  # idle connections kept to a machine
 
 
 class Attempt:
     """A request on its way to one machine; `done(fate, response)` is called once."""
 
-    __slots__ = "data", "id", "done", "sent", "over"
+    __slots__ = "data", "id", "done", "sent", "over", "bodiless"
 
-    def __init__(self, data: bytes, id: str, done: Callable[[Fate, Response | None], None]) -> None:
+    def __init__(self, data: bytes, id: str, done: Callable[[Fate, Response | None], None],
+                 bodiless: bool = False) -> None:
         self.data, self.id, self.done, self.sent, self.over = data, id, done, False, False
+        self.bodiless = bodiless  # it is a HEAD
 
     def end(self, fate: Fate, response: Response | None = None) -> None:
         if not self.over:
@@ -37,7 +40,7 @@
     def __init__(self, pool: "Pool", plant: Plant) -> None:
         self.pool, self.plant = pool, plant
         self.transport = self.attempt = None
-        self.reader = Reader(pool.buffers, responses=True)
+        self.reader = Reader(pool.buffers, responses=True, body_most=ANSWER_MOST)
         self.idle_since, self.idle_most, self.poor = 0.0, IDLE, False
 
     def connection_made(self, transport) -> None:
@@ -46,7 +49,7 @@
 
     def carry(self, attempt: Attempt) -> None:
         self.attempt = attempt
-        attempt.sent = True
+        attempt.sent, self.reader.bodiless = True, attempt.bodiless
         self.transport.write(attempt.data)
 
     def data_received(self, data: bytes) -> None:
@@ -74,7 +77,7 @@
             self.idle_most = IDLE
             for part in headers.get("keep-alive", "").split(","):
                 name, _, value = part.strip().partition("=")
-                if name.lower() == "timeout" and value.isdigit():
+                if name.lower() == "timeout" and value.isdecimal() and len(value) < 9:
                     self.idle_most = min(IDLE, int(value) - SPARE)
             self.pool.rest(self)
         if found.status == 421:
--- a/umbermoor/gateway/screen/registry.py
+++ b/umbermoor/gateway/screen/registry.py
@@ -81,6 +81,7 @@
         self.life, self.period, self.number = life, period, 0
         self.entries: dict[str, Entry] = {}
         self.urgent = 0  # the number of the newest change that should not wait
+        self.shape = 0  # of the newest change of what is worth keeping over a restart
         self._numbers: dict[str, int] = {}
         self._heard: dict[str, int] = {}  # when its entry last changed here
         self._connected_since: int | None = None
@@ -95,9 +96,13 @@
         self.number += 1
         self._numbers[entry.id], self._heard[entry.id] = self.number, now
         if old is None or (old.state, old.address, old.service) != (held.state, held.address, held.service):
-            self.urgent = self.number
+            self.urgent = self.shape = self.number
         return True
 
+    def kept(self) -> list[list[Any]]:
+        """What a member that starts again may begin with: those not gone. Beats put right what has changed since."""
+        return [entry.told() for entry in self.entries.values() if entry.state != GONE]
+
     def gone(self, now: int, id: str) -> Entry:
         """A machine says that it leaves."""
         old = self.entries.get(id)
--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -53,8 +53,11 @@
 class Reader:
     """Holds buffers only while a message is partly read."""
 
-    def __init__(self, buffers: Buffers, responses: bool = False, as_pieces: bool = False) -> None:
+    def __init__(self, buffers: Buffers, responses: bool = False, as_pieces: bool = False,
+                 body_most: int = BODY_MOST) -> None:
         self._run, self._responses, self._as_pieces = Run(buffers), responses, as_pieces
+        self._body_most, self._most = body_most, MESSAGE_MOST - BODY_MOST + body_most
+        self.bodiless = False  # the next response answers a HEAD
         self._at = 0  # bytes held that are understood, or seen not to end a head
         self._dead = False
         self._clear()
@@ -78,9 +81,9 @@
         found: list[Read] = []
         rest = memoryview(data)
         while rest and not self._dead:
-            part, rest = rest[:MESSAGE_MOST - self._run.size], rest[MESSAGE_MOST - self._run.size:]
+            part, rest = rest[:self._most - self._run.size], rest[self._most - self._run.size:]
             fault = self._parse(found) if self._run.add(part) else Fault(503, "no memory left for it")
-            if fault is None and self._run.size == MESSAGE_MOST:
+            if fault is None and self._run.size == self._most:
                 fault = Fault(413, "message too large")
             if fault is not None:
                 found.append(fault)
@@ -163,9 +166,9 @@
             return Fault(501, "unknown transfer coding")
         if length is not None and not (length.isascii() and length.isdigit()):
             return Fault(400, "garbled length")
-        if length is not None and (len(length) > 9 or int(length) > BODY_MOST):
+        if length is not None and (len(length) > 9 or int(length) > self._body_most):
             return Fault(413, "body too large")
-        if self._responses and (status < 200 or status in (204, 304)):
+        if self._responses and (status < 200 or status in (204, 304) or self.bodiless):
             return None  # whatever its headers say, it has no body
         if coding is not None:
             self._framing = _Body.CHUNKED
@@ -182,7 +185,7 @@
             if self._streamed and self._run.size:
                 found.append(Piece(self._run.part(0, self._run.size)))
                 self._consume(self._run.size)
-            return Fault(413, "body too large") if self._run.size > BODY_MOST else None
+            return Fault(413, "body too large") if self._run.size > self._body_most else None
         if self._run.size < self._length:
             return None
         body = self._run.part(0, self._length)
@@ -206,7 +209,7 @@
             if size is None:
                 return Fault(400, "garbled chunk")
             count = int(size[1], 16)
-            if self._size + count > BODY_MOST:
+            if self._size + count > self._body_most:
                 return Fault(413, "body too large")
             if not count:
                 self._trailers, self._at = True, end + 2
