--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -82,7 +82,7 @@
             version = (int(message["register"][0]), int(message["register"][1]))
             keys, members, firm = dict(message["keys"]), [str(one) for one in message["everyone"]], message["firm"]
             offered, head = int(message["revision"]), str(message["head"])
-        except (KeyError, TypeError, ValueError, IndexError):
+        except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             return None
         source.asked, source.heard, source.life, source.number = None, now, life, number
         source.next = now + GAP
@@ -129,8 +129,14 @@
         self.waiting: dict[Any, tuple[int, dict[str, Any]]] = {}  # by connection: until when, the pull
 
     def pull(self, now: int, line: Any, message: dict[str, Any]) -> None:
-        """Notes a pull; a connection has one at a time."""
-        self.waiting[line] = now + HOLD, message
+        """Notes a pull; a connection has one at a time. Threat: a garbled one that breaks the answers to all others."""
+        try:
+            whole = {"life": int(message["life"]), "number": int(message["number"]),
+                     "register": [int(message["register"][0]), int(message["register"][1])],
+                     "revision": int(message["revision"]), "want": message.get("want") is True}
+        except (KeyError, TypeError, ValueError, IndexError, OverflowError):
+            return
+        self.waiting[line] = now + HOLD, whole
 
     def closed(self, line: Any) -> None:
         self.waiting.pop(line, None)
@@ -139,13 +145,9 @@
         """The pulls that are answered now: those with news that should not wait, and those that waited long."""
         found = []
         for line, (until, pull) in list(self.waiting.items()):
-            try:
-                known = int(pull["number"]) if int(pull["life"]) == life else -1
-                held, has = (int(pull["register"][0]), int(pull["register"][1])), int(pull["revision"])
-            except (KeyError, TypeError, ValueError, IndexError):
-                del self.waiting[line]
-                continue
-            if now >= until or known < urgent or held < version or has < revision or known < 0 or pull.get("want"):
+            known = pull["number"] if pull["life"] == life else -1
+            if now >= until or known < max(urgent, 0) or tuple(pull["register"]) < version \
+                    or pull["revision"] < revision or pull["want"]:
                 found.append((line, pull))
                 del self.waiting[line]
         return found
