--- a/umbermoor/gateway/mast/lines.py
+++ b/umbermoor/gateway/mast/lines.py
@@ -15,6 +15,7 @@
 IDLE_ONCE = 2.0  # s: for requests that may run only once
 SPARE = 1.0  # s: closed so long before the machine would
 ANSWER_MOST = 8 << 20  # bytes of an answer's body: it is held whole before any of it goes on
+PROMISES = 408, 429, 503  # to a client: it never runs. Of a machine's word only X-Not-Executed says so
 KEPT = 6  # idle connections kept to a machine
 
 
@@ -53,7 +54,8 @@
         self.transport.write(attempt.data)
 
     def data_received(self, data: bytes) -> None:
-        for found in self.reader.feed(data):
+        all_found = self.reader.feed(data)
+        for place, found in enumerate(all_found, 1):
             if isinstance(found, Fault):
                 self._break(Fate.SPOILT)
                 return
@@ -66,6 +68,7 @@
                     self.poor = True  # a surplus answer of an earlier request: ours is still to come
                     continue
             self.attempt = None
+            self.poor = self.poor or place < len(all_found)  # more came behind it
             self._answer(attempt, found)
 
     def _answer(self, attempt: Attempt, found: Response) -> None:
@@ -84,7 +87,8 @@
             attempt.end(Fate.WRONG, found)
         elif "x-not-executed" in headers:
             attempt.end(Fate.FULL, found)
-        elif "content-encoding" in headers or 200 <= found.status < 300 and "x-server-seal" not in headers:
+        elif found.status in PROMISES or "content-encoding" in headers \
+                or 200 <= found.status < 300 and "x-server-seal" not in headers:
             attempt.end(Fate.SPOILT, found)
         else:
             attempt.end(Fate.WHOLE, found)
