--- a/umbermoor/gateway/mast/post.py
+++ b/umbermoor/gateway/mast/post.py
@@ -1,6 +1,7 @@
 """Messages between processes of the system: frames of JSON on TCP, best effort. A line that says nothing is dropped.
 
-A stranger may open lines too: each holds one frame of at most MOST bytes, and there are at most LINES of them."""
+A stranger may open lines too: each holds one frame of at most MOST bytes, all together at most HELD of what is partly
+read, and there are at most LINES of them."""
 
 import asyncio
 import json
@@ -10,6 +11,7 @@
 
 MOST = 8 << 20  # bytes of a frame
 LINES = 400
+HELD = 32 << 20  # bytes partly read of all lines
 BACKLOG = 4 << 20  # bytes that may wait for a peer that does not read
 CONNECT = 0.6  # s
 USER_TIMEOUT = 1500  # ms without an acknowledgement until a line is broken
@@ -59,6 +61,10 @@
 
     def data_received(self, data: bytes) -> None:
         self.held += data
+        self.post.held += len(data)
+        if self.post.held > HELD:
+            self.transport.abort()
+            return
         while len(self.held) >= 4:
             head = int.from_bytes(self.held[:4], "big")
             size = head & ~PRESSED
@@ -69,6 +75,7 @@
                 return
             message = opened(bytes(self.held[4:4 + size]), bool(head & PRESSED))
             del self.held[:4 + size]
+            self.post.held -= 4 + size
             if message is None:
                 self.transport.abort()
                 return
@@ -82,6 +89,7 @@
                 self.transport.write(data)
 
     def connection_lost(self, error) -> None:
+        self.post.held -= len(self.held)
         self.held = bytearray()
         self.post.incoming.discard(self)
         self.post.lost(self)
@@ -101,6 +109,7 @@
                  lost: Callable[[Line], None] = lambda line: None) -> None:
         self.ip, self.port, self._receive, self._lost = ip, port, receive, lost
         self.incoming: set[Line] = set()
+        self.held = 0  # bytes partly read, of all lines
         self.outgoing: dict[str, Line | list[bytes]] = {}  # a line, or what waits for it
         self._tasks: set[asyncio.Task] = set()
 
