--- /dev/null
+++ b/tests/gateway/features/steps/mast_steps.py
@@ -0,0 +1,627 @@
+"""A vane on 127.0.0.1 with machines that do as they are told; waits are for what happens, within bounds."""
+
+import asyncio
+import json
+import random
+import socket
+import struct
+import time
+import zlib
+from itertools import count
+
+from behave import given, then, when
+
+from umbermoor.gateway.almanac.papers import papers_from
+from umbermoor.gateway.mast import post as posts
+from umbermoor.gateway.mast.clients import ClientLine
+from umbermoor.gateway.mast.front import Front
+from umbermoor.gateway.mast.post import PRESSED, frame
+from umbermoor.gateway.screen.registry import READY, Entry
+from umbermoor.http1.buffers import Buffers
+from umbermoor.http1.reader import Reader, Request, Response
+from umbermoor.http1.writer import write_response
+
+HERE = "127.0.0.1"
+BOUND = 10  # s, for anything at all
+SETTINGS = """
+nodeName = "front-1"
+role = "my-front"
+machineClass = "front"
+ip = "127.0.0.1"
+zone = "z"
+portRange = [{port},{port}]
+seeds = ["127.0.0.9:8649"]
+margins = ["retryRatio=100"]
+[envelope]
+memoryMb = 64
+"""
+ROUTES = {
+    "revision": "00000001", "services": {"s": {}},
+    "routes": {kind: {"host": "h", "prefix": f"/{kind}/", "kind": kind, "horizonS": 5, "service": "s", "tries": 2}
+               for kind in ("safe", "unsafe")},
+}
+
+
+def answer(request, status=200, body=None, **headers):
+    body = f"body of {request.headers['x-attempt-id']}".encode() if body is None else body
+    told = {"X_Attempt_Id": request.headers["x-attempt-id"], "X_Server_Seal": f"seal {request.target}", **headers}
+    return write_response(status, body, headers={name.replace("_", "-"): value for name, value in told.items()
+                                                 if value is not None})
+
+
+def head(request, *lines):
+    return "\r\n".join(["HTTP/1.1 200 OK", f"X-Attempt-Id: {request.headers['x-attempt-id']}",
+                        f"X-Server-Seal: seal {request.target}", *lines, "", ""]).encode()
+
+
+def body_of(request):
+    return f"body of {request.headers['x-attempt-id']}".encode()
+
+
+FULL = dict(X_Not_Executed="1", X_Server_Seal=None)
+MANNERS = {  # what is sent, whether the connection ends then, whether the request runs
+    "well": (answer, False, True),
+    "by chunks": (lambda one: head(one, "Transfer-Encoding: chunked") + b"4\r\nbody\r\n%x\r\n%s\r\n0\r\n\r\n" % (
+        len(body_of(one)) - 4, body_of(one)[4:]), False, True),
+    "until it closes": (lambda one: head(one) + body_of(one), True, True),
+    "early hints": (lambda one: b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + answer(one), False, True),
+    "not found": (lambda one: answer(one, 404), False, True),
+    "full": (lambda one: answer(one, 503, b"", **FULL), False, False),
+    "full without id": (lambda one: answer(one, 503, b"", X_Attempt_Id=None, **FULL), False, False),
+    "400 without id": (lambda one: answer(one, 400, b"", X_Attempt_Id=None, **FULL), False, False),
+    "another machine": (lambda one: answer(one, 421, b"", X_Server_Seal=None), False, False),
+    "cut short": (lambda one: answer(one)[:-3], True, True),
+    "chunks cut short": (lambda one: head(one, "Transfer-Encoding: chunked") + b"4\r\nbody\r\n", True, True),
+    "closes": (lambda one: b"", True, True),
+    "resets": (lambda one: b"", None, True),
+    "garbage": (lambda one: b"\x16\x03\x01 no answer at all\r\n\r\n", False, True),
+    "no seal": (lambda one: answer(one, X_Server_Seal=None), False, True),
+    "encoded": (lambda one: answer(one, Content_Encoding="gzip"), False, True),
+    "fails": (lambda one: answer(one, 500), False, True),
+    "bare 503": (lambda one: answer(one, 503, b""), False, True),
+    "bare 429": (lambda one: answer(one, 429, b""), False, True),
+    "bare 408": (lambda one: answer(one, 408, b""), False, True),
+    "hangs": (lambda one: b"", False, True),
+    "closes behind it": (answer, True, True),
+    "twice": (lambda one: 2 * answer(one), False, True),
+    "garbage behind it": (lambda one: answer(one) + b"\0\1\2 more\r\n\r\n", False, True),
+    "part of one behind it": (lambda one: answer(one) + answer(one)[:40], False, True),
+    "odd figures": (lambda one: answer(one, Keep_Alive="timeout=\xb2, timeout=" + "9" * 5000, X_Load_Level="\xb2,0,8"),
+                    False, True),
+}
+
+
+class Machines:
+    """Machines that do in turn what they were told, and after that are well."""
+
+    def __init__(self):
+        self.manners, self.came, self.ran, self.busy = [], [], [], 0
+        self.most_busy, self.numbers, self.servers, self.entries = 0, count(), [], []
+        self.last: dict[int, Request] = {}  # by connection
+        self.together: list | None = None
+        self.want = 0
+
+    async def start(self, many):
+        for number in range(many):
+            server = await asyncio.start_server(self.serve, HERE, 0)
+            self.servers.append(server)
+            port = server.sockets[0].getsockname()[1]
+            self.entries.append(Entry(f"i-{number}", "s", f"{HERE}:{port}", "z", "v1", 8, READY, 0, 1))
+
+    async def serve(self, stream, writer):
+        number, reader = next(self.numbers), Reader(Buffers(64 << 20), body_most=1 << 20)
+        try:
+            while data := await stream.read(1 << 16):
+                for request in reader.feed(data):
+                    assert isinstance(request, Request), request
+                    self.busy += 1
+                    self.most_busy = max(self.most_busy, self.busy)
+                    go_on = await self.act(number, request, writer)
+                    self.busy -= 1
+                    if not go_on:
+                        return
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            reader.drop()
+            writer.close()
+
+    async def act(self, number, request, writer):
+        id = request.headers["x-attempt-id"]
+        self.came.append((number, id, request))
+        if self.together is not None:
+            self.ran.append(id)
+            self.together.append((request, writer))
+            if len(self.together) == self.want:
+                for one, other in reversed(self.together):
+                    other.write(answer(one))
+                    await other.drain()
+            return True
+        manner = self.manners.pop(0) if self.manners else "well"
+        old = self.last.get(number)
+        self.last[number] = request
+        if manner.startswith("the old"):
+            writer.write((answer(old) if "answer" in manner else answer(old, 503, b"", **FULL)) + answer(request))
+            self.ran.append(id)
+            return True
+        make, ends, runs = MANNERS[manner]
+        if runs:
+            self.ran.append(id)
+        writer.write(make(request))
+        await writer.drain()
+        if ends is None:
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        return ends is False
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, stream, writer):
+        self.stream, self.writer = stream, writer
+        self.reader = Reader(Buffers(64 << 20), responses=True, body_most=1 << 20)
+        self.held: list = []
+
+    def send(self, id, kind="safe", body=b"", path="x", method=None, *lines):
+        method = method or ("GET" if kind == "safe" else "POST")
+        text = "\r\n".join([f"{method} /{kind}/{path} HTTP/1.1", "Host: h", f"X-Attempt-Id: {id}", *lines, ""])
+        if method == "POST" and not any(line.startswith("Transfer") for line in lines):
+            text += f"Content-Length: {len(body)}\r\n"
+        self.writer.write(text.encode("latin-1") + b"\r\n" + body)
+
+    async def answer(self):
+        """The next answer; None where the connection ended."""
+        async with asyncio.timeout(BOUND):
+            while not self.held:
+                try:
+                    data = await self.stream.read(1 << 16)
+                except ConnectionError:
+                    return None
+                if not data:
+                    return None
+                self.held += self.reader.feed(data)
+            return self.held.pop(0)
+
+    def own(self, found, id, kind="safe", path="x"):
+        assert isinstance(found, Response) and found.status == 200, found
+        assert found.body == f"body of {id}".encode() and found.headers["x-attempt-id"] == id, found
+        assert found.headers["x-server-seal"] == f"seal /{kind}/{path}", found
+
+
+class Loopback:
+    """A vane with its machines, in an event loop of its own."""
+
+    def __init__(self, many):
+        self.runner, self.many = asyncio.Runner(), many
+        self.run(self.start())
+
+    def run(self, story):
+        async def bounded():
+            async with asyncio.timeout(3 * BOUND):
+                return await story
+        return self.runner.run(bounded())
+
+    async def start(self):
+        with socket.socket() as free:
+            free.bind((HERE, 0))
+            port = free.getsockname()[1]
+        self.front = Front(papers_from(SETTINGS.format(port=port).encode()), random.Random(3))
+        self.machines = Machines()
+        await self.machines.start(self.many)
+        self.tell([entry.told() for entry in self.machines.entries])
+        self.front.configured({"kind": "body", "text": json.dumps(ROUTES)})
+        self.server = await asyncio.get_running_loop().create_server(lambda: ClientLine(self.front), HERE, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def tell(self, machines):
+        line = type("Line", (), {"peer": "127.0.0.9"})
+        self.front.receive(line, {
+            "kind": "news", "life": 1, "number": 1, "machines": machines, "register": [0, 0], "keys": {},
+            "everyone": ["127.0.0.9"], "head": "127.0.0.9", "firm": True, "revision": 0})
+        assert self.front.plants.by_id
+
+    async def client(self):
+        return Client(*await asyncio.open_connection(HERE, self.port))
+
+    async def until(self, holds):
+        async with asyncio.timeout(BOUND):
+            while not holds():
+                await asyncio.sleep(0.005)
+
+    def end(self):
+        async def close():
+            self.server.close()
+            for server in self.machines.servers:
+                server.close()
+            for line in list(self.front.lines):
+                line.transport.abort()
+            for lines in list(self.front.pool.idle.values()):
+                for line in list(lines):
+                    line.transport.abort()
+            await asyncio.sleep(0)
+        self.runner.run(close())
+        self.runner.close()
+
+
+@given("a vane on loopback before {many:d} machines")
+def _(context, many):
+    context.here = Loopback(many)
+    context.add_cleanup(context.here.end)
+
+
+@when("a vane's machines take no connections any more")
+def _(context):
+    async def story():
+        for server in context.here.machines.servers:
+            server.close()
+            await server.wait_closed()
+    context.here.run(story())
+
+
+@when("a vane's client sends a request that is {kind}, and machines do this in turn: {manners}")
+def _(context, kind, manners):
+    here, hangs = context.here, "hangs" in manners
+
+    async def story():
+        here.machines.manners = manners.split(", ")
+        context.client = await here.client()
+        context.client.send("first", kind, b"", "x", None, *(["X-Time-Remaining: 600"] if hangs else []))
+        return await context.client.answer()
+    context.kind, context.found = kind, here.run(story())
+
+
+@then("a vane's client got {status:d}, and the request came to machines {came:d} times and ran {ran:d} times")
+def _(context, status, came, ran):
+    here, found = context.here, context.found
+    assert isinstance(found, Response) and found.status == status, found
+    if status == 200:
+        context.client.own(found, "first", context.kind)
+    elif status in (502, 503, 504):
+        assert found.body == b"" and "x-server-seal" not in found.headers, found
+    assert (status == 503) == ("retry-after" in found.headers), found
+    assert [id for _, id, _ in here.machines.came] == ["first"] * came, here.machines.came
+    assert here.machines.ran == ["first"] * ran, here.machines.ran
+    assert not here.front.going
+    for _, _, request in here.machines.came:
+        assert request.headers["x-target-instance"] in ("i-0", "i-1")
+        assert 0 < int(request.headers["x-time-remaining"]) <= 5000
+
+
+@then("a vane's client gets its own answer to the next request on that connection")
+def _(context):
+    async def story():
+        for number in range(3):
+            context.client.send(f"next{number}", "safe")
+            context.client.own(await context.client.answer(), f"next{number}")
+    context.here.run(story())
+
+
+@when("a vane's client sends {many:d} requests that are {kind} one after the other, and machines do this in turn: "
+      "{manners}")
+def _(context, many, kind, manners):
+    here = context.here
+    context.kind, context.found, context.ids = kind, [], [f"r{number}" for number in range(many)]
+
+    async def story():
+        here.machines.manners = manners.split(", ")
+        context.client = await here.client()
+        for id in context.ids:
+            context.client.send(id, kind)
+            context.found.append(await context.client.answer())
+    here.run(story())
+
+
+@when("a vane's client sends {many:d} requests that are {kind} behind one another, and machines do this in turn: "
+      "{manners}")
+@when("a vane's client sends {many:d} requests that are {kind} behind one another, and machines answer the last first "
+      "once all are there")
+def _(context, many, kind, manners=None):
+    here = context.here
+    context.kind, context.ids = kind, [f"r{number}" for number in range(many)]
+
+    async def story():
+        if manners is None:
+            here.machines.together, here.machines.want = [], many
+        else:
+            here.machines.manners = manners.split(", ")
+        context.client = await here.client()
+        for id in context.ids:
+            context.client.send(id, kind)
+        context.found = [await context.client.answer() for _ in context.ids]
+    here.run(story())
+
+
+@then("a vane's client got its own answer to each, and each ran once")
+def _(context):
+    for id, found in zip(context.ids, context.found):
+        context.client.own(found, id, context.kind)
+    assert sorted(context.here.machines.ran) == sorted(context.ids), context.here.machines.ran
+
+
+@then("a vane sent the first 2 on one connection and the third on another")
+def _(context):
+    first, second, third = [number for number, _, _ in context.here.machines.came]
+    assert first == second != third, (first, second, third)
+
+
+@then("a vane's machines had one request at a time, in the client's order")
+def _(context):
+    assert context.here.machines.most_busy == 1 and context.here.machines.ran == context.ids
+
+
+@then("a vane passes a body on unchanged, by length and in chunks, of {least:d} to {most:d} bytes")
+def _(context, least, most):
+    here, dice = context.here, random.Random(8)
+    sizes = [least, 1, 5, 4095, 4096, 4097, 70_000, most]
+
+    async def story():
+        client = await here.client()
+        for size in sizes:
+            body = dice.randbytes(size)
+            chunks, at = b"", 0
+            while at < size:
+                part = body[at:at + dice.randint(1, max(1, size // 3))]
+                at += len(part)
+                chunks += b"%x;odd=1\r\n%s\r\n" % (len(part), part)
+            for coded in (False, True):
+                id = f"{size}{coded}"
+                sent = chunks + b"0\r\nTrailer: x\r\n\r\n" if coded else body
+                lines = ["Transfer-Encoding: chunked"] if coded else []
+                client.send(id, "unsafe", b"", "x", "PUT", *(lines or [f"Content-Length: {size}"]))
+                for place in range(0, len(sent), 1 + len(sent) // 3):
+                    client.writer.write(sent[place:place + 1 + len(sent) // 3])
+                    await client.writer.drain()
+                client.own(await client.answer(), id, "unsafe")
+                request = here.machines.came[-1][2]
+                assert request.method == "PUT" and request.body == body, (size, coded, len(request.body))
+                assert "transfer-encoding" not in request.headers
+    here.run(story())
+
+
+@then("a vane passes method, path, query and headers on, but for those of one connection")
+def _(context):
+    here = context.here
+
+    async def story():
+        client = await here.client()
+        path = "a%2Fb/../c;d=1?q=%20&r=/safe/#x"
+        client.send("one", "unsafe", b"", path, "DELETE", "X-Own: 1, 2", "X-Own: 3", "Keep-Alive: timeout=9",
+                    "Connection: keep-alive", "TE: trailers", "Proxy-Connection: x", "X-Target-Instance: i-9",
+                    "X-Time-Remaining: 1500", "Accept-Encoding: identity")
+        client.own(await client.answer(), "one", "unsafe", path)
+        request = here.machines.came[-1][2]
+        assert (request.method, request.target, request.body) == ("DELETE", f"/unsafe/{path}", b""), request
+        left = int(request.headers.pop("x-time-remaining"))
+        assert 0 < left <= 1500, left
+        assert request.headers == {"host": "h", "x-attempt-id": "one", "x-own": "1, 2, 3",
+                                   "accept-encoding": "identity", "x-target-instance": "i-0"}, request.headers
+        client.send("two", "none", b"")
+        found = await client.answer()
+        assert found.status == 404 and here.machines.ran[-1] == "one", (found, here.machines.ran)
+    here.run(story())
+
+
+@then("a vane's client that asks to close gets its answer and the end")
+def _(context):
+    async def story():
+        client = await context.here.client()
+        client.send("last", "safe", b"", "x", "GET", "Connection: close")
+        client.send("never", "safe")
+        found = await client.answer()
+        client.own(found, "last")
+        assert not found.keep and await client.answer() is None
+        assert context.here.machines.ran == ["last"]
+    context.here.run(story())
+
+
+@then("a vane's client that sends its end behind a request gets its answer and the end")
+def _(context):
+    async def story():
+        client = await context.here.client()
+        client.send("end0", "safe")
+        client.send("end1", "safe")
+        client.writer.write_eof()
+        client.own(await client.answer(), "end0")
+        client.own(await client.answer(), "end1")
+        assert await client.answer() is None
+    context.here.run(story())
+
+
+@then("a vane that leaves answers what comes, and says that it closes")
+def _(context):
+    async def story():
+        client = await context.here.client()
+        client.send("before", "safe")
+        client.own(await client.answer(), "before")
+        context.here.front.leaving = True
+        client.send("after", "unsafe")
+        found = await client.answer()
+        client.own(found, "after", "unsafe")
+        assert not found.keep and await client.answer() is None
+    context.here.run(story())
+
+
+@then("a vane's client that leaves while a machine hangs leaves nothing behind")
+def _(context):
+    here = context.here
+
+    async def story():
+        here.machines.manners = ["hangs"]
+        client = await here.client()
+        client.send("gone", "safe", b"", "x", "GET", "X-Time-Remaining: 300")
+        await here.until(lambda: here.machines.came)
+        client.writer.transport.abort()
+        await here.until(lambda: not here.front.going and not here.front.lines)
+        other = await here.client()  # longer than the hedge of the first would have taken
+        until = time.monotonic() + 0.3
+        while time.monotonic() < until:
+            other.send("other", "safe")
+            other.own(await other.answer(), "other")
+            await asyncio.sleep(0.02)
+        assert [id for _, id, _ in here.machines.came].count("gone") == 1
+    here.run(story())
+
+
+STRANGE = {
+    "a huge head": b"GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Long: " + b"x" * 70_000,
+    "garbage": b"\x16\x03\x01\x02\0\x01\0\r\n\r\n",
+    "two lengths": b"POST /safe/x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    "a length and chunks": b"POST /safe/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           b"0\r\n\r\nGET /safe/smuggled HTTP/1.1\r\n\r\n",
+    "garbled chunks": b"POST /safe/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\nx\r\n0\r\n\r\n",
+    "an odd coding": b"POST /safe/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+    "too large a body": b"POST /safe/x HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999\r\n\r\n",
+    "a header over two lines": b"GET /safe/x HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n 2\r\n\r\n",
+    "half a head, and waits": b"GET /safe/x HTTP/1.1\r\nHost: h\r\n",
+}
+
+
+@when("a vane's stranger sends {what}")
+def _(context, what):
+    here = context.here
+
+    async def story():
+        client = await here.client()
+        client.writer.write(STRANGE[what])
+        if "waits" in what:
+            await here.until(lambda: any(line.reader.midway for line in here.front.lines))
+            for line in list(here.front.lines):  # its clock, later
+                line.sweep(here.front.clock() + 1, here.front.head_s, here.front.idle_s)
+                assert not line.transport.is_closing()
+                line.sweep(here.front.clock() + 60, here.front.head_s, here.front.idle_s)
+        return await client.answer(), await client.answer()
+    context.found = here.run(story())
+
+
+@then("a vane's stranger gets {status:d} and the end, no machine gets anything, and others are served")
+def _(context, status):
+    here, (found, more) = context.here, context.found
+    assert isinstance(found, Response) and (found.status, found.keep) == (status, False) and more is None, context.found
+    assert not here.machines.came
+
+    async def story():
+        client = await here.client()
+        client.send("other", "unsafe")
+        client.own(await client.answer(), "other", "unsafe")
+        client.writer.close()
+        await here.until(lambda: not here.front.lines)
+        assert here.front.buffers.out == 0
+    here.run(story())
+
+
+@then("a vane gives all memory back of {many:d} strangers who sent halves and left")
+def _(context, many):
+    here, dice = context.here, random.Random(2)
+    whole = b"POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Long: " + b"x" * 5000 + b"\r\nContent-Length: 9000\r\n\r\n" + b"y" * 8999
+
+    async def story():
+        clients = [await here.client() for _ in range(many)]
+        for client in clients:
+            client.writer.write(whole[:dice.randint(1, len(whole))])
+            await client.writer.drain()
+        await here.until(lambda: sum(line.reader.midway for line in here.front.lines) == many)
+        assert here.front.buffers.out >= many
+        for client in clients:
+            if dice.random() < 0.5:
+                client.writer.close()
+            else:
+                client.writer.transport.abort()
+        await here.until(lambda: not here.front.lines)
+        assert here.front.buffers.out == 0 and not here.machines.came
+    here.run(story())
+
+
+@then("a vane's client gets its own answer to odd figures in its headers")
+def _(context):
+    async def story():
+        client = await context.here.client()
+        for number, odd in enumerate(("\xb2", "-1", "", "1e9", "9" * 5000, "5.5", " 900 ")):
+            client.send(f"odd{number}", "safe", b"", "x", "GET", f"X-Time-Remaining: {odd}")
+            client.own(await client.answer(), f"odd{number}")
+    context.here.run(story())
+
+
+def framed(body, pressed=False):
+    return (len(body) | (PRESSED if pressed else 0)).to_bytes(4, "big") + body
+
+
+@then("a vane's post ends the lines of strangers who send garbled frames")
+def _(context):
+    here = context.here
+    garbled = [
+        b"\xff" * 64, (posts.MOST + 1).to_bytes(4, "big"), framed(b""), framed(b"{"), framed(b"[]"), framed(b"7"),
+        framed(b"\xff\xfe"), framed(b"[" * 100_000), framed(b'{"a":' * 100_000), framed(b"no", True),
+        framed(zlib.compress(b" " * (posts.MOST + 1) + b"{}"), True), framed(zlib.compress(b"{}")[:-1] + b"\0", True),
+        b"GET / HTTP/1.1\r\n\r\n"]
+
+    async def story():
+        await here.front.post.listen()
+        for data in garbled:
+            stream, writer = await asyncio.open_connection(HERE, here.front.post.port)
+            writer.write(data)
+            async with asyncio.timeout(BOUND):
+                try:
+                    assert await stream.read(1) == b"", data[:20]
+                except ConnectionError:
+                    pass
+            writer.close()
+        await here.until(lambda: not here.front.post.incoming)
+    here.run(story())
+
+
+@then("a vane's post takes messages of odd kinds from strangers, and nothing comes of them")
+def _(context):
+    here, front = context.here, context.here.front
+    entry = Entry("evil", "s", f"{HERE}:1", "z", "v1", 8, READY, 0, 1).told()
+    news = {"kind": "news", "life": 1, "number": 9, "machines": [entry], "register": [9, 9], "keys": {}, "firm": True,
+            "everyone": [HERE], "head": HERE, "revision": 99}
+    odd = [{}, {"kind": None}, {"kind": []}, {"kind": {}}, {"kind": "pull"}, news, {"kind": "body", "text": 1e999},
+           {"kind": "body", "text": json.dumps({**ROUTES, "revision": "0000ffff", "routes": {}})},
+           {"kind": "news"}, {"kind": "told", "entry": entry}, {"kind": "reports", "reports": [None]}]
+
+    async def story():
+        stream, writer = await asyncio.open_connection(HERE, front.post.port)
+        taken, receive = [], front.post._receive
+        front.post._receive = lambda line, message: (taken.append(message), receive(line, message))
+        data = b"".join(map(frame, odd))
+        for place in range(0, len(data), 100):
+            writer.write(data[place:place + 100])
+            await writer.drain()
+        await here.until(lambda: len(taken) == len(odd))
+        writer.close()
+        assert "evil" not in front.plants.by_id and front.routes.revision == 1 and front.pulls.version == (0, 0)
+        assert front.pulls.everyone == ("127.0.0.9",) and front.pulls.offered == 0
+        client = await here.client()
+        client.send("well", "unsafe")
+        client.own(await client.answer(), "well", "unsafe")
+    here.run(story())
+
+
+@then("a vane's post holds a bounded number of lines, and of bytes partly read")
+def _(context):
+    here, front, kept = context.here, context.here.front, (posts.LINES, posts.HELD)
+
+    async def story():
+        posts.LINES, posts.HELD = 10, 5 << 20
+        pairs = [await asyncio.open_connection(HERE, front.post.port) for _ in range(14)]
+        for stream, _ in pairs[10:]:
+            async with asyncio.timeout(BOUND):
+                try:
+                    assert await stream.read(1) == b""
+                except ConnectionError:
+                    pass
+        assert len(front.post.incoming) == 10
+        part = (2 << 20).to_bytes(4, "big") + b"x" * (1 << 20)
+        for _, writer in pairs[:10]:
+            writer.write(part)
+        await here.until(lambda: len(front.post.incoming) <= 5)
+        assert sum(len(line.held) for line in front.post.incoming) == front.post.held <= posts.HELD
+        for _, writer in pairs:
+            writer.close()
+        await here.until(lambda: not front.post.incoming)
+        assert front.post.held == 0
+    try:
+        here.run(story())
+    finally:
+        posts.LINES, posts.HELD = kept
