--- a/umbermoor/gateway/plot/local.py
+++ b/umbermoor/gateway/plot/local.py
@@ -12,7 +12,8 @@
 import tempfile
 import time
 from asyncio.subprocess import DEVNULL, Process
-from dataclasses import dataclass, field
+from collections import Counter
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any, Awaitable, Callable
 
@@ -20,6 +21,7 @@
 
 from umbermoor.gateway.logbook.caller import Caller, Told
 from umbermoor.gateway.plot.machines import Machine, Make
+from umbermoor.gateway.plot.traffic import follow, trickle
 
 ZONES = "north", "east", "west"
 FRONTS = ZONES[:2]
@@ -243,6 +245,14 @@
         await self.chain(3)
         await self.read(2)
 
+    def machines_of(self, version: str) -> list[Machine]:
+        """One machine a zone, not started yet. Versions whose name begins with `bad` fail a third of their requests."""
+        make = Make(SERVICE, "", version, period_s=PERIOD, drain_s=1.0, fails=0.33 if version.startswith("bad") else 0)
+        made = [Machine(f"i-{random.getrandbits(32):08x}", replace(make, zone=zone), f"{self.net}.{31 + number}",
+                        self.controls) for number, zone in enumerate(ZONES)]
+        self.machines += made
+        return made
+
     async def play(self, stay: bool, kill_head: bool) -> None:
         for number, zone in enumerate(ZONES):
             self.nodes.append(Node(f"core-{zone}", "barograph", f"{self.net}.{11 + number}", zone))
@@ -251,10 +261,7 @@
         for node in self.nodes:
             await self.start(node, cold=True)
         chain = await self.chain(3)
-        for number, zone in enumerate(ZONES):
-            machine = Machine(f"i-{random.getrandbits(32):08x}", Make(SERVICE, zone, period_s=PERIOD, drain_s=1.0),
-                              f"{self.net}.{31 + number}", self.controls)
-            self.machines.append(machine)
+        for machine in self.machines_of("v1"):
             taken = await machine.start()
             self.say(f"machine {machine.id} of {SERVICE} on {machine.address}: beat {'taken' if taken else 'not taken'}")
         await self.put(1)
@@ -276,8 +283,16 @@
         self.say(f"settings and logs: {self.folder}")
         self.say(f"curl -i -H 'Host: {HOST}' -H 'X-Attempt-Id: 1' http://{self.fronts[0].ip}:{self.ports.front}{PREFIX}a")
         self.say(f"{command} story {places}")
-        self.say("up until Ctrl-C")
-        await asyncio.Event().wait()
+        self.say(f"{command} rollout begin {SERVICE} v2 --ramp-s 10 {places}")
+        self.say("a trickle of requests; versions named bad... fail; up until Ctrl-C")
+        counts: Counter[str] = Counter()
+        try:
+            async with asyncio.TaskGroup() as group:
+                for node in self.fronts:
+                    group.create_task(trickle(node.ip, self.ports.front, HOST, f"{PREFIX}today", counts))
+                group.create_task(follow(SERVICE, self.controls, list(self.machines), self.machines_of, self.say))
+        finally:
+            self.say(f"requests: {', '.join(f'{count} {name}' for name, count in sorted(counts.items()))}")
 
 
 def _with_parent() -> None:
--- a/umbermoor/gateway/plot/machines.py
+++ b/umbermoor/gateway/plot/machines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import zlib
 from collections import deque
 from dataclasses import dataclass
@@ -33,6 +34,7 @@
     idle_s: int = 8
     period_s: float = 1.5
     drain_s: float = 2.5
+    fails: float = 0.0  # share of requests that it answers with 500
 
 
 class Answer(NamedTuple):
@@ -189,6 +191,8 @@
             if loop.time() + 1e-3 >= until:
                 return Answer(504)
             self.served += 1
+            if random.random() < make.fails:
+                return Answer(500)
             body = json.dumps({"machine": self.id, "revision": make.revision, "path": request.target}).encode()
             mark = zlib.crc32(headers["x-attempt-id"].encode() + body)
             return Answer(200, body, (("X-Server-Seal", f"{zlib.crc32(self.id.encode()):x}.{self.served:x}.{mark:08x}"),
