--- a/umbermoor/gateway/logbook/calls.py
+++ b/umbermoor/gateway/logbook/calls.py
@@ -4,6 +4,7 @@
 from typing import Any, Awaitable, Callable, NamedTuple
 
 BODY_MOST = 6 << 20  # bytes of a call's body
+NAME_MOST = 200  # characters of a name in a path
 
 
 class Reply(NamedTuple):
@@ -64,12 +65,14 @@
 
     def find(self, method: str, path: str) -> tuple[Handler, str] | Reply:
         """The handler and the name in the path, or what is answered instead."""
-        if (method, path) in self.calls:
-            return self.calls[method, path], ""
         head, slash, name = path.rpartition("/")
+        if name and (method, path) in self.calls:
+            return self.calls[method, path], ""
+        if len(name) > NAME_MOST:
+            return wrong(400, f"name in the path: over {NAME_MOST} characters")
         if name and (method, head + slash) in self.calls:
             return self.calls[method, head + slash], name
-        known = path in self.paths or head + slash in self.paths
+        known = name and (path in self.paths or head + slash in self.paths)
         return wrong(405, "no such method here") if known else wrong(404, "no such call")
 
     async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
@@ -89,7 +92,7 @@
             whole = not event.get("more_body")
             if len(body) > BODY_MOST:
                 break
-        if not whole:
+        if len(body) > BODY_MOST:
             answer = wrong(413, f"body: over {BODY_MOST} bytes")
         else:
             found = self.find(scope["method"], scope["path"])
--- a/umbermoor/gateway/screen/registry.py
+++ b/umbermoor/gateway/screen/registry.py
@@ -49,9 +49,9 @@
         if not isinstance(body.get(key), str) or not 0 < len(body[key]) <= 200:
             return f"{key}: a text is missing"
     host, colon, port = body["address"].rpartition(":")
-    if not colon or not port.isdigit() or not 0 < int(port) < 65536 or not host:
+    if not colon or not (port.isascii() and port.isdecimal()) or not 0 < int(port) < 65536 or not host:
         return "address: not of the form ip:port"
-    if body.get("state") not in STATES:
+    if not isinstance(body.get("state"), str) or body["state"] not in STATES:
         return "state: neither ready nor draining"
     numbers = [body.get(key, 0) for key in ("capacity", "warmupLeftS", "sample")]
     if any(isinstance(one, bool) or not isinstance(one, (int, float)) or not 0 <= one < 1e15 for one in numbers):
