--- a/umbermoor/gateway/logbook/command.py
+++ b/umbermoor/gateway/logbook/command.py
@@ -1,4 +1,4 @@
-"""The command line: the daemons, checks of files, and operators' calls. Prints lines; the exit status says how it ended.
+"""The command line: daemons, checks of files, operators' calls. Prints lines; the exit status says how it ended.
 
 0 done, 1 refused (the line says why), 2 bad input, 3 nobody answered.
 """
--- a/umbermoor/gateway/plot/local.py
+++ b/umbermoor/gateway/plot/local.py
@@ -211,7 +211,8 @@
 
     async def ready(self) -> None:
         for node in self.fronts:
-            await self.until(f"{node.name} ready", lambda ip=node.ip: asyncio.to_thread(_is_ready, ip, self.ports.ready))
+            await self.until(f"{node.name} ready",
+                             lambda ip=node.ip: asyncio.to_thread(_is_ready, ip, self.ports.ready))
             self.say(f"{node.name} is ready")
 
     async def request(self, node: Node) -> None:
@@ -263,7 +264,7 @@
         chain = await self.chain(3)
         for machine in self.machines_of("v1"):
             taken = await machine.start()
-            self.say(f"machine {machine.id} of {SERVICE} on {machine.address}: beat {'taken' if taken else 'not taken'}")
+            self.say(f"machine {machine.id} of {SERVICE} on {machine.address}, beat {'' if taken else 'not '}taken")
         await self.put(1)
         await self.ready()
         await self.request(self.fronts[0])
@@ -281,7 +282,8 @@
         for node in self.fronts:
             self.say(f"{node.name}: requests http://{node.ip}:{self.ports.front}, ready at port {self.ports.ready}")
         self.say(f"settings and logs: {self.folder}")
-        self.say(f"curl -i -H 'Host: {HOST}' -H 'X-Attempt-Id: 1' http://{self.fronts[0].ip}:{self.ports.front}{PREFIX}a")
+        first = f"http://{self.fronts[0].ip}:{self.ports.front}{PREFIX}a"
+        self.say(f"curl -i -H 'Host: {HOST}' -H 'X-Attempt-Id: 1' {first}")
         self.say(f"{command} story {places}")
         self.say(f"{command} rollout begin {SERVICE} v2 --ramp-s 10 {places}")
         self.say("a trickle of requests; versions named bad... fail; up until Ctrl-C")
--- a/umbermoor/gateway/plot/machines.py
+++ b/umbermoor/gateway/plot/machines.py
@@ -66,7 +66,7 @@
         loop = asyncio.get_running_loop()
         self._began = loop.time()
         self._server = await loop.create_server(lambda: MachineLine(self), self.host, 0)
-        self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
+        self.address = f"{self.host}:{self._server.sockets[0].getsockname()[1]}"
         taken = await self.beat()
         self._beating = loop.create_task(self._beats())
         return taken
