--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Features of the gateway, and the worlds in which its machines are tried."""
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -270,13 +270,16 @@
             "serving": self._serving(),
             "view": [self._view.epoch, list(self._view.chain)] if self._view.epoch else None,
             "committed": list(self.version),
-            "hears": sorted(self._peers.heard(self._now)),
+            "hears": self._hearing(),
         }
 
+    def _hearing(self) -> list[str]:
+        return sorted(self._peers.heard(self._now))
+
     def _ping_all(self) -> None:
         self._pinged = self._now
         ping = self._ping()
-        for who in self._others() if self.everyone else set(self._seeds) | set(self._peers.heard(self._now)):
+        for who in self.everyone or dict.fromkeys([*self._seeds, *self._peers.heard(self._now)]):
             if who != self.me:
                 self._send(who, "ping", **ping)
 
@@ -400,7 +403,7 @@
 
     def _hears_serving(self, within: int) -> bool:
         return any(
-            peer.ping["serving"] and peer.joined == self._view.epoch
+            peer.ping["serving"] and peer.ping["joined"] == self._view.epoch
             for peer in self._peers.heard(self._now, within).values()
         )
 
@@ -422,8 +425,9 @@
                 return "fenced", apart, nobody
             if self._joined:
                 return "unserved", SILENCE + apart, nobody
-            heard = self._peers.heard(self._now)
-            if self.me in self._view.chain or len(heard) == len(self.everyone) - 1:
+            if self.me in self._view.chain or all(
+                self._peers.mutual(self._now, one, other) for one in self.everyone for other in self.everyone
+            ):
                 return "started", apart, nobody
             return "started", (LOST if self._view.epoch else SETTLE) + apart, nobody
         for who in self._held.chain:
@@ -480,13 +484,16 @@
         if self._promise == epoch > self._held.epoch:
             mine = self._held.epoch, self._last
             state = dict(self._state) if mine > theirs else None
-            self._send(to, "promise", epoch=epoch, blank=False, version=list(mine), state=state)
+            self._send(
+                to, "promise", epoch=epoch, blank=False, version=list(mine), state=state, hears=self._hearing()
+            )
 
     def _on_prepare(self, sender: str, message: dict[str, Any]) -> None:
         epoch, theirs = message["epoch"], tuple(message["version"])
         if self._blank:
             if self._ready() and epoch > self._floor() and epoch >= self._promise:
-                self._send(sender, "promise", epoch=epoch, blank=True, version=[0, 0], state=None)
+                hears = self._hearing()
+                self._send(sender, "promise", epoch=epoch, blank=True, version=[0, 0], state=None, hears=hears)
         elif epoch > self._promise and self._counts():
             self._attempt = None
             self._patience = self._now + 700 * MS + self._chance.randrange(400 * MS)
@@ -503,7 +510,8 @@
     def _on_promise(self, sender: str, message: dict[str, Any]) -> None:
         attempt = self._attempt
         if attempt and attempt.epoch == message["epoch"] and not attempt.chain:
-            promise = Promise(message["blank"], tuple(message["version"]), message["state"])
+            hears = frozenset(message["hears"])
+            promise = Promise(message["blank"], tuple(message["version"]), message["state"], hears)
             if promise.blank or promise.state is not None or promise.version <= (self._held.epoch, self._last):
                 attempt.promises.setdefault(sender, promise)
                 self._pursue()
@@ -554,9 +562,7 @@
         """Enough have promised: decide on the chain and its state."""
         first = [self.me, *self._view.chain, *self.everyone]
         order = [who for who in dict.fromkeys(first) if who in attempt.promises]
-        chosen = choose_chain(
-            order, attempt.shunned, majority(self.everyone), partial(self._peers.mutual, self._now)
-        )
+        chosen = choose_chain(order, attempt.shunned, majority(self.everyone), attempt.mutual)
         for who, peer in self._peers.heard(self._now).items():
             if who not in attempt.promises and peer.ping["well"] and not peer.ping["blank"]:
                 self._shunned[who] = self._now + SHUN
--- a/umbermoor/gateway/barograph/peers.py
+++ b/umbermoor/gateway/barograph/peers.py
@@ -48,7 +48,7 @@
                 peer.since = now
             new = new or now - peer.last > SILENT
             peer.last, peer.ping = now, ping
-        if ping["well"]:
+        if ping["well"] and ping["joined"] >= peer.joined:  # a lower one is of an earlier life, or newly started
             peer.joined, peer.joined_at = ping["joined"], now
         return new
 
--- a/umbermoor/gateway/barograph/view.py
+++ b/umbermoor/gateway/barograph/view.py
@@ -61,6 +61,7 @@
     blank: bool
     version: Version
     state: Mapping[str, Any] | None  # None: as the proposer's, or older
+    hears: frozenset[str]  # whom it hears
 
 
 @dataclass(slots=True)
@@ -81,6 +82,9 @@
         """How many that count have promised."""
         return sum(not promise.blank for promise in self.promises.values())
 
+    def mutual(self, one: str, other: str) -> bool:
+        return other in self.promises[one].hears and one in self.promises[other].hears
+
     def newest(self) -> Promise:
         """Whose state is to be taken."""
         counting = (promise for promise in self.promises.values() if not promise.blank)
--- a/umbermoor/gateway/barograph/words.py
+++ b/umbermoor/gateway/barograph/words.py
@@ -84,7 +84,7 @@
     "learn": {"nonce": number},
     "learnt": {"nonce": number, "promise": number},
     "prepare": {"epoch": number, "version": version},
-    "promise": {"epoch": number, "blank": flag, "version": version, "state": maybe_values},
+    "promise": {"epoch": number, "blank": flag, "version": version, "state": maybe_values, "hears": names},
     "refuse": {"epoch": number, "promise": number},
     "newview": {"epoch": number, "chain": names, "members": names, "base": version, "state": maybe_values},
     "accept": {"epoch": number},
