--- a/tests/gateway/features/steps/screen_steps.py
+++ b/tests/gateway/features/steps/screen_steps.py
@@ -18,6 +18,8 @@
     for sample in range(1, dice.randint(2, 9)):
         if leaves and dice.random() < 0.2:
             state = DRAINING
+        elif state == DRAINING and dice.random() < 0.1:  # it changes its mind: there is no way back
+            state = READY
         told.append(Entry(id, "s", "10.0.0.1:80", "z", dice.choice(("v1", "v2")), dice.randint(1, 9), state,
                           dice.randrange(3), sample))
         if state == READY and dice.random() < 0.2:  # a member took it for silent
