--- a/umbermoor/gateway/raingauge/budget.py
+++ b/umbermoor/gateway/raingauge/budget.py
@@ -41,7 +41,7 @@
         with `fronts`, and falls only to a number that has been the same for a whole window; longer than half a window
         without a call counts as a change.
 
-        Why the shares sum to no more than the slack. Take any window from T - W to T, and let n fronts run at T - W. Who
+        Why the shares sum to no more than the slack. Take any window, T - W to T; let n fronts run at T - W. Who
         uses its share at t within it began at t - W or before, so it ran at T - W: there are at most n, and a former
         life at one of their addresses ended before T - W. Each one's `counted` at t is no less than what it believed
         at T - W, since that lies within its last window. Where each believed at least n / 2 then, its share is at most
--- a/umbermoor/gateway/sonde/fronts.py
+++ b/umbermoor/gateway/sonde/fronts.py
@@ -32,6 +32,8 @@
 FORGET, FORGET_NEVER = 600_000 * MS, 60_000 * MS  # those gone; newcomers who never answered
 LISTS, FIRST_LISTS = 10, 5  # a list is asked for with every so many probes, and with the first few
 
+NEVER: Version = (0, 0)  # of who never answered
+
 Out = list[tuple[str, bytes]]
 
 
@@ -101,7 +103,7 @@
         return tuple(sorted([self.me, *(ip for ip, one in self._members.items() if one.since < 0)]))
 
     def count(self) -> int:
-        """How many fronts there are at most: suspects count, and so does this one. Who hears nobody keeps its number."""
+        """How many fronts there are at most: suspects count, and so does this one. Who hears nobody keeps it."""
         return len(self._members) + 1
 
     def story(self) -> dict[str, int]:
@@ -113,7 +115,7 @@
     # What comes in
 
     def heard_of(self, now: int, ips: Iterable[str]) -> None:
-        """Addresses where fronts may be: each is probed, and believed once it answered. Call it as often as you like."""
+        """Addresses where fronts may be: each is probed, and believed once it answered. Call it as often as wanted."""
         for ip in ips:
             gone = self._gone.get(ip)
             if gone is None or now - max(gone.at, gone.tried) >= 5000 * MS:
@@ -270,6 +272,9 @@
             member.version = version
             self._remove(now, ip, State.GONE)
         elif member.since < 0 or version > member.version:
+            if version[0] != member.version[0]:
+                self._counts["restarted"] += 1
+                member.since = -1
             member.version = version
             self._suspect(now, ip, member)
 
@@ -283,7 +288,7 @@
     def _remove(self, now: int, ip: str, state: State) -> None:
         member = self._members.pop(ip)
         if ip not in self._gone and len(self._gone) >= GONE:
-            del self._gone[min(self._gone, key=lambda one: self._gone[one].at)]
+            del self._gone[min(self._gone, key=lambda one: (self._gone[one].version != NEVER, self._gone[one].at))]
         self._gone[ip] = _Gone(member.version, now, state is State.LEFT, now)
         self._counts["left" if state is State.LEFT else "removed"] += 1
         self._spread(state, ip, member.version)
@@ -395,7 +400,7 @@
             elif newcomer.tries >= TRIES:
                 del self._newcomers[ip]
                 if ip not in self._gone and len(self._gone) < GONE:
-                    self._gone[ip] = _Gone((0, 0), now, False, now)
+                    self._gone[ip] = _Gone(NEVER, now, False, now)
             else:
                 room -= 1
                 self._try(now, ip, newcomer, out)
@@ -408,9 +413,9 @@
         if now >= self._regain:
             self._regain = now + REGAIN
             for ip, gone in list(self._gone.items()):
-                if now - gone.at > (FORGET if gone.version[0] else FORGET_NEVER):
+                if now - gone.at > (FORGET_NEVER if gone.version == NEVER else FORGET):
                     del self._gone[ip]
-            waiting = [ip for ip, gone in self._gone.items() if not gone.left]
+            waiting = [ip for ip, gone in self._gone.items() if not gone.left and gone.version != NEVER]
             if waiting:
                 ip = min(self.chance.sample(waiting, min(4, len(waiting))), key=lambda one: self._gone[one].tried)
                 self._gone[ip].tried = now
@@ -445,6 +450,6 @@
                 for ip in self.chance.sample(rest, min(len(rest), ITEMS - len(news))):
                     one = self._members[ip]
                     news.append(News(State.ALIVE if one.since < 0 else State.SUSPECT, ip, one.version))
-        elif gone is not None and not gone.left and gone.version[0]:
-            news.append(News(State.GONE, to, gone.version))
+        elif gone is not None and gone.version != NEVER:
+            news.append(News(State.LEFT if gone.left else State.GONE, to, gone.version))
         out.append((to, written(Letter(kind, self.me, self.version, number, third or self.me, news))))
