--- a/umbermoor/gateway/anemometer/front.py
+++ b/umbermoor/gateway/anemometer/front.py
@@ -35,6 +35,7 @@
     since: int = 0  # when this front began to count for the order: names this count to the core
     asked: int = 0
     credit: float = 0.0  # requests that the trial may still be sent
+    due: float | None = None  # at this credit one is sent; by chance, so that many light fronts keep the sum
     reserved: int = 0  # of those promised, not sent yet
     under_way: Counter[str] = field(default_factory=Counter)  # by version
     scores: dict[bool, list[int]] = field(default_factory=lambda: {True: [0, 0, 0], False: [0, 0, 0]})  # trial?
@@ -174,7 +175,10 @@
             return base
         if stage and now - one.staged <= LEASE * record["rampS"] * SECOND:
             return record["target"] if chance < SHARES[stage] else base
-        if one.credit < 1 or chance >= min(HEAVY, 1 / max(1, one.before)):
+        if one.due is None:
+            one.due = chance
+            return base
+        if one.credit < one.due or chance >= min(HEAVY, 1 / max(1, one.before)):
             return base
         one.credit -= 1
         one.reserved += 1
@@ -188,7 +192,7 @@
         stage, trial = self._stage(now, one), revision == one.record["target"]
         if not trial:
             return stage != ALL and revision == one.base
-        return stage > 0 or stage == 0 and (one.reserved > 0 or one.credit >= 1)
+        return stage > 0 or stage == 0 and (one.reserved > 0 or one.due is not None and one.credit >= one.due)
 
     def sent(self, now: int, service: str, revision: str) -> None:
         """A try was sent to a machine of this version."""
