--- a/umbermoor/gateway/__main__.py
+++ b/umbermoor/gateway/__main__.py
@@ -21,7 +21,8 @@
     from umbermoor.gateway.almanac.faults import Fault
     from umbermoor.gateway.almanac.papers import read_papers
     from umbermoor.gateway.mast import events
-    papers = read_papers(os.environ.get("UMBERMOOR_SETTINGS", "/etc/umbermoor/settings.toml"))
+    path = os.environ.get("UMBERMOOR_SETTINGS", "/etc/umbermoor/settings.toml")
+    papers = read_papers(path)
     if isinstance(papers, Fault):
         print(papers, file=sys.stderr)
         return 2
@@ -34,7 +35,7 @@
         from umbermoor.gateway.mast.front import serve
     else:
         from umbermoor.gateway.mast.core import serve
-    asyncio.run(serve(papers))
+    asyncio.run(serve(papers, path))
     return 0
 
 
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -101,6 +101,11 @@
         self.offered = max(self.offered, offered)
         return Heard(changed, register, self.offered > self.revision and now >= self._want_at)
 
+    def meet(self, name: str) -> None:
+        """A seed that was named later; it counts only until members say who they are."""
+        if not self.told and name != self.me:
+            self.sources.setdefault(name, Source())
+
     def _members(self, members: list[str]) -> None:
         self.everyone, self.told = tuple(members), True
         for name in members:
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -27,6 +27,7 @@
 
 SECOND = 1_000_000
 TICK = 0.05  # s
+FRONTS = 6  # other fronts named in an answer: enough to meet the rest by
 BATCH = 0.01  # s: changes that come together are told together
 HEARD = 0.7  # s: for a majority to note what may not be lost
 LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
@@ -42,7 +43,7 @@
 
 class Core:
     def __init__(self, papers: Papers, chance: random.Random) -> None:
-        self.papers = papers
+        self.papers, self.chance = papers, chance
         self.store = Store(papers.data_dir or "", round(papers.disk_mb * 0.6) << 20)
         self.disk = ThreadPoolExecutor(1)
         seeds = [seed.rpartition(":")[0] for seed in papers.seeds]
@@ -302,13 +303,16 @@
         member, registry = self.member, self.registry
         config = member.committed.get(CONFIG)
         revision = config["revision"] if config else 0
+        callers = [line.peer for line in self.teller.waiting if line.peer not in member.everyone]
+        fronts = callers if len(callers) <= FRONTS else self.chance.sample(callers, FRONTS)
         keys = {key: value for key, value in member.committed.items() if key != CONFIG}
         for line, pull in self.teller.due(self.now(), registry.life, registry.urgent, member.version, revision):
             known = pull["number"] if pull["life"] == registry.life else -1
             line.send(frame({
                 "kind": "news", "life": registry.life, "number": registry.number, "machines": registry.after(known),
                 "register": list(member.version), "keys": keys if pull["register"] != list(member.version) else {},
-                "everyone": list(member.everyone), "head": self.head(), "firm": member.connected, "revision": revision}))
+                "everyone": list(member.everyone), "head": self.head(), "firm": member.connected, "revision": revision,
+                "fronts": fronts}))
             if pull.get("want") and revision > pull["revision"]:
                 if self.body[0] != revision:
                     self.body = revision, frame({"kind": "body", "text": config["text"]})
@@ -363,6 +367,6 @@
             await asyncio.sleep(TICK)
 
 
-async def serve(papers: Papers) -> None:
-    """Runs a barograph until it is told to end."""
+async def serve(papers: Papers, path: str = "") -> None:
+    """Runs a barograph until it is told to end. Of its settings nothing is read again: members stay as founded."""
     await Core(papers, random.Random()).serve()
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -3,21 +3,25 @@
 import asyncio
 import gc
 import json
+import os
 import random
 import signal
 import time
 from typing import Any
 
-from umbermoor.gateway.almanac.papers import Papers
+from umbermoor.gateway.almanac.faults import Fault
+from umbermoor.gateway.almanac.papers import Papers, read_papers
 from umbermoor.gateway.almanac.routes import Route, Routes
 from umbermoor.gateway.anemometer.front import Trials
 from umbermoor.gateway.heliograph.reader import Reader as Pulls
+from umbermoor.gateway.mast import datagrams
 from umbermoor.gateway.mast.clients import ClientLine, request_bytes
 from umbermoor.gateway.mast.events import event
 from umbermoor.gateway.mast.lines import Attempt, Pool
 from umbermoor.gateway.mast.post import Line, Post
 from umbermoor.gateway.mast.ready import ReadyLine
 from umbermoor.gateway.raingauge.budget import Budget
+from umbermoor.gateway.sonde.fronts import Sonde
 from umbermoor.gateway.vane.exchange import Exchange, Fate, Relay, Told, Wait
 from umbermoor.gateway.vane.plants import Plant, Plants
 from umbermoor.http1.buffers import Buffers
@@ -43,8 +47,11 @@
 
 
 class Front:
-    def __init__(self, papers: Papers, chance: random.Random) -> None:
-        self.papers, self.chance = papers, chance
+    def __init__(self, papers: Papers, chance: random.Random, path: str = "") -> None:
+        """`path` of the settings file, to be read again when it changes; "" never."""
+        self.papers, self.chance, self.path, self.changed = papers, chance, path, _changed(path)
+        self.sonde = Sonde(papers.ip, time.time_ns() // 1000, chance)
+        self.stages: dict[str, tuple] = {}  # of roll-outs, as last logged
         self.clock = time.monotonic
         self.plants, self.trials, self.routes = Plants(papers.zone), Trials(), None
         self.buffers = Buffers(papers.memory_mb << 20)
@@ -207,11 +214,15 @@
             for key, record in heard.register.items():
                 if key.startswith("rollout/"):
                     self.trials.order(now, key[8:], record)
-                    event("rollout", service=key[8:], **{name: record[name] for name in ("state", "target", "stage")})
+                    stage = record["state"], record["target"], record["stage"]
+                    if self.stages.get(key) != stage:
+                        self.stages[key] = stage
+                        event("rollout", service=key[8:], state=stage[0], target=stage[1], stage=stage[2])
             for service in self.plants.changed:
                 self.trials.listed(now, service, [(one.id, one.entry.revision, one.listed)
                                                   for one in self.plants.listed(service)])
             self.plants.changed.clear()
+            self.sonde.heard_of(now, [one for one in message.get("fronts", ()) if isinstance(one, str)])
             if heard.want:
                 self.post.send(line.peer, self.pulls.pull(now, line.peer))
         elif kind == "body" and line.peer in self.pulls.sources:
@@ -244,8 +255,9 @@
     async def serve(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.leave)
-        loop.add_signal_handler(signal.SIGHUP, lambda: event("sighup"))
+        loop.add_signal_handler(signal.SIGHUP, self.read_again)
         await self.post.listen()
+        sounding = await datagrams.listen(self.sonde, self.papers.ip, self.papers.ports[0], self.now)
         host, port = self.papers.listen["ready"]
         await loop.create_server(lambda: ReadyLine(lambda: self.ready and not self.leaving), host, port)
         host, port = self.papers.listen["front"]
@@ -254,8 +266,10 @@
         gc.freeze()
         ticking = loop.create_task(self.ticks())
         await self.ended.wait()
+        sounding.leave()
         await self.part(server)
         ticking.cancel()
+        sounding.close()
         event("end", **self.counts)
 
     async def ticks(self) -> None:
@@ -276,10 +290,29 @@
             if clock - told >= 1:
                 told = clock
                 self.pool.sweep()
+                if _changed(self.path) != self.changed:
+                    self.read_again()
+                slack, fronts = self.papers.margin("retrySlack", 0.0), self.sonde.count()
+                for budget in self.budgets.values():
+                    budget.shared(now, slack, fronts)
                 for line in list(self.lines):
                     line.sweep(clock, self.head_s, self.idle_s)
             await asyncio.sleep(TICK)
 
+    def read_again(self) -> None:
+        """The settings file changed. What is wrong with it is logged, and the one held stays in force."""
+        self.changed = _changed(self.path)
+        papers = read_papers(self.path)
+        if isinstance(papers, Fault):
+            event("garbled", what="settings", why=papers)
+            return
+        self.papers = papers
+        for budget in self.budgets.values():
+            budget.set_ratio(papers.margin("retryRatio", 0.2))
+        for seed in papers.seeds:
+            self.pulls.meet(seed.rpartition(":")[0])
+        event("settings", seeds=",".join(papers.seeds))
+
     def leave(self) -> None:
         if not self.leaving:
             self.leaving = True
@@ -302,6 +335,15 @@
             await asyncio.sleep(0.05)
 
 
-async def serve(papers: Papers) -> None:
+def _changed(path: str) -> tuple[int, int]:
+    """What tells one state of a file from another."""
+    try:
+        stat = os.stat(path)
+    except OSError:
+        return 0, 0
+    return stat.st_mtime_ns, stat.st_size
+
+
+async def serve(papers: Papers, path: str = "") -> None:
     """Runs a vane until it is told to end."""
-    await Front(papers, random.Random()).serve()
+    await Front(papers, random.Random(), path).serve()
--- a/umbermoor/gateway/raingauge/budget.py
+++ b/umbermoor/gateway/raingauge/budget.py
@@ -19,6 +19,10 @@
         self._asked = self._began = self._since = -1
         self._counted = self._last = 0
 
+    def set_ratio(self, ratio: float) -> None:
+        """The bound changed: second tries to first ones."""
+        self.ratio = ratio * PART
+
     def request(self, now: int) -> None:
         self.earned.add(now, 1)
 
