--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -219,6 +219,8 @@
                         self.stages[key] = stage
                         event("rollout", service=key[8:], state=stage[0], target=stage[1], stage=stage[2])
             for service in self.plants.changed:
+                if message.get("firm") is True and f"rollout/{service}" not in self.pulls.register:
+                    self.trials.order(now, service, None)
                 self.trials.listed(now, service, [(one.id, one.entry.revision, one.listed)
                                                   for one in self.plants.listed(service)])
             self.plants.changed.clear()
--- a/umbermoor/gateway/mast/post.py
+++ b/umbermoor/gateway/mast/post.py
@@ -48,13 +48,14 @@
         self.post, self.peer = post, peer
         self.transport: asyncio.Transport | None = None
         self.held = bytearray()
+        self.spoke = False  # a whole frame came
 
     def connection_made(self, transport) -> None:
         self.transport = transport
         quicken(transport)
         if self.peer is None:
             self.peer = transport.get_extra_info("peername")[0]
-            if len(self.post.incoming) >= LINES:
+            if len(self.post.incoming) >= LINES and not self.post.evict():
                 transport.abort()
                 return
             self.post.incoming.add(self)
@@ -79,6 +80,7 @@
             if message is None:
                 self.transport.abort()
                 return
+            self.spoke = True
             self.post.receive(self, message)
 
     def send(self, data: bytes) -> None:
@@ -116,6 +118,15 @@
     async def listen(self) -> None:
         await asyncio.get_running_loop().create_server(lambda: Line(self, None), self.ip, self.port)
 
+    def evict(self) -> bool:
+        """Makes room where strangers hold lines on which nothing was ever said; whether there was one."""
+        silent = next((line for line in self.incoming if not line.spoke), None)
+        if silent is None:
+            return False
+        self.incoming.discard(silent)
+        silent.transport.abort()
+        return True
+
     def receive(self, line: Line, message: dict) -> None:
         self._receive(line, message)
 
