--- a/umbermoor/gateway/sonde/fronts.py
+++ b/umbermoor/gateway/sonde/fronts.py
@@ -26,7 +26,7 @@
 HEALTH_WORST = 4
 MEMBERS, NEWCOMERS, GONE, PROBES = 512, 256, 256, 256  # most that are held
 BURST = 16  # of each kind of further probe a tick; of probes at strangers between two ticks
-TRIES, RETRY = 4, 400 * MS  # of newcomers
+TRIES, RETRY = 6, 400 * MS  # of newcomers
 CHECK = 700 * MS  # between a front's own probes of a suspect
 REGAIN = 2000 * MS  # between probes of those gone
 FORGET, FORGET_NEVER = 600_000 * MS, 60_000 * MS  # those gone; newcomers who never answered
@@ -415,7 +415,8 @@
             for ip, gone in list(self._gone.items()):
                 if now - gone.at > (FORGET_NEVER if gone.version == NEVER else FORGET):
                     del self._gone[ip]
-            waiting = [ip for ip, gone in self._gone.items() if not gone.left and gone.version != NEVER]
+            waiting = [ip for ip, gone in self._gone.items() if not gone.left and gone.version != NEVER] or [
+                ip for ip, gone in self._gone.items() if not gone.left]
             if waiting:
                 ip = min(self.chance.sample(waiting, min(4, len(waiting))), key=lambda one: self._gone[one].tried)
                 self._gone[ip].tried = now
