--- a/tests/gateway/features/mast.feature
+++ b/tests/gateway/features/mast.feature
@@ -57,6 +57,10 @@
       | unsafe | part of one behind it       | 200    | 1    | 1   |
       | unsafe | odd figures                 | 200    | 1    | 1   |
 
+  Scenario: a vane before a machine that never answers
+    Given a vane on loopback before 1 machines
+    Then a vane counts nothing as under way at a machine that never answers, once the time of its request is over
+
   Scenario Outline: a vane tells a surplus answer apart that comes late on a kept connection
     Given a vane on loopback before 1 machines
     When a vane's client sends 3 requests that are <kind> one after the other, and machines do this in turn: well, <manner>
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -29,6 +29,7 @@
 
 SECOND = 1_000_000
 TICK = 0.05  # s
+OVERTIME = 0.1  # s: an answer at the last moment may still be on its way
 WAY = 10_000  # us: taken off what a client says it waits, for the way there and back
 FIRST = 3 * SECOND  # us: ready without any machine known, where none came within this
 LINGER = 2.6  # s: after SIGTERM until idle connections are closed; the platform looks once a second
@@ -38,12 +39,13 @@
 class Going:
     """A request under way: what the state machine does not hold."""
 
-    __slots__ = "line", "slot", "request", "route", "exchange", "timer", "number", "attempts"
+    __slots__ = "line", "slot", "request", "route", "exchange", "timer", "number", "out"
 
     def __init__(self, line: ClientLine, slot: list, request: Request, route: Route, exchange: Exchange) -> None:
         self.line, self.slot, self.request, self.route, self.exchange = line, slot, request, route, exchange
         self.timer: asyncio.TimerHandle | None = None
         self.number = 0
+        self.out: dict[int, Attempt] = {}
 
 
 class Front:
@@ -154,11 +156,13 @@
         attempt = Attempt(data, going.request.headers.get("x-attempt-id", ""),
                           lambda fate, response: self.attempt_ended(going, number, plant, now, fate, response),
                           going.request.method == "HEAD")
+        going.out[number] = attempt
         self.pool.start(plant, attempt, not exchange.safe)
 
     def attempt_ended(self, going: Going, number: int, plant: Plant, sent: int, fate: Fate,
                       response: Response | None) -> None:
         now, plants = self.now(), self.plants
+        going.out.pop(number, None)
         plants.back(plant)
         if response is not None and (load := response.headers.get("x-load-level")):
             plants.load_told(now, plant, load)
@@ -187,10 +191,22 @@
         if going.timer is not None:
             going.timer.cancel()
         self.going.pop(id(going.slot), None)
+        self.leave_out(going)
         key = f"s{status}"
         self.counts[key] = self.counts.get(key, 0) + 1
         going.line.told(going.slot, status, body, headers)
 
+    def leave_out(self, going: Going) -> None:
+        """Attempts that are out when a request ends may go on until its time is over, and no longer: of a machine that
+        went dark nothing comes, not even an end."""
+        if going.out:
+            left = max(0, going.exchange.due - self.now()) / SECOND + OVERTIME
+            asyncio.get_running_loop().call_later(left, self.give_up, going)
+
+    def give_up(self, going: Going) -> None:
+        for attempt in list(going.out.values()):
+            attempt.give_up()
+
     def client_left(self, slot: list) -> None:
         """Its connection is gone: what it asked is not sent anywhere else."""
         going = self.going.pop(id(slot), None)
@@ -198,6 +214,7 @@
             going.exchange.closed = True
             if going.timer is not None:
                 going.timer.cancel()
+            self.leave_out(going)
 
     # News
 
--- a/umbermoor/gateway/mast/lines.py
+++ b/umbermoor/gateway/mast/lines.py
@@ -22,18 +22,25 @@
 class Attempt:
     """A request on its way to one machine; `done(fate, response)` is called once."""
 
-    __slots__ = "data", "id", "done", "sent", "over", "bodiless"
+    __slots__ = "data", "id", "done", "sent", "over", "bodiless", "line"
 
     def __init__(self, data: bytes, id: str, done: Callable[[Fate, Response | None], None],
                  bodiless: bool = False) -> None:
         self.data, self.id, self.done, self.sent, self.over = data, id, done, False, False
         self.bodiless = bodiless  # it is a HEAD
+        self.line: "MachineLine | None" = None  # that carries it
 
     def end(self, fate: Fate, response: Response | None = None) -> None:
         if not self.over:
             self.over = True
             self.done(fate, response)
 
+    def give_up(self) -> None:
+        """Its time is over: the machine has stopped work at it, or says nothing any more."""
+        if self.line is not None and not self.over:
+            self.line.give_up(self)
+        self.end(Fate.BROKEN if self.sent else Fate.UNSENT)
+
 
 class MachineLine(asyncio.Protocol):
     __slots__ = "pool", "plant", "transport", "reader", "attempt", "idle_since", "idle_most", "poor"
@@ -49,7 +56,7 @@
         quicken(transport)
 
     def carry(self, attempt: Attempt) -> None:
-        self.attempt = attempt
+        self.attempt, attempt.line = attempt, self
         attempt.sent, self.reader.bodiless = True, attempt.bodiless
         self.transport.write(attempt.data)
 
@@ -96,6 +103,12 @@
     def _close(self) -> None:
         self.transport.close()
 
+    def give_up(self, attempt: Attempt) -> None:
+        """Breaks the connection that still carries it."""
+        if self.attempt is attempt:
+            self.attempt = None
+            self.transport.abort()
+
     def _break(self, fate: Fate) -> None:
         attempt, self.attempt = self.attempt, None
         self.transport.abort()
