--- a/tests/gateway/features/heliograph.feature
+++ b/tests/gateway/features/heliograph.feature
@@ -21,3 +21,6 @@
 
   Scenario: news are answered among garbled pulls
     Then a reader of news gets its answer while strangers pull with garbled numbers
+
+  Scenario: a reader of news forgets machines that are long gone
+    Then a reader of news holds no machine that has not been ready for a minute, and those that came back
--- a/tests/gateway/features/steps/heliograph_steps.py
+++ b/tests/gateway/features/steps/heliograph_steps.py
@@ -234,3 +234,22 @@
                 member.teller.pull(0, "stranger", {**good, **extra, field: value})
                 for _, kept in member.teller.due(HOLD, 7, 0, (0, 0), 3):  # what a host reckons with is whole
                     assert kept["revision"] < 4 and kept["number"] < 4 and len(kept["register"]) == 2, kept
+
+
+@then("a reader of news holds no machine that has not been ready for a minute, and those that came back")
+def _(context):
+    from umbermoor.gateway.heliograph.reader import FORGET
+    from umbermoor.gateway.heliograph.reader import Reader as Pulls
+    pulls, second = Pulls(["m"]), 1_000_000
+
+    def told(now, number, *machines):
+        pulls.news(now, "m", {
+            "life": 1, "number": number, "register": [0, 0], "keys": {}, "everyone": ["m"], "head": "m", "firm": True,
+            "revision": 0, "machines": [[id, "s", "1:1", "z", "v1", 1, state, 0, sample]
+                                        for id, state, sample in machines]})
+    told(second, 1, ("stays", 0, 1), ("leaves", 0, 1), ("sleeps", 0, 1))
+    told(2 * second, 2, ("leaves", 3, 2), ("sleeps", 1, 1))
+    told(3 * second, 3, ("sleeps", 0, 2))
+    assert pulls.forget(2 * second + FORGET) == [] and len(pulls.machines) == 3
+    assert pulls.forget(2 * second + FORGET + 1) == ["leaves"]
+    assert sorted(pulls.machines) == ["sleeps", "stays"] and pulls.forget(1000 * second) == []
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -2,12 +2,13 @@
 
 from typing import Any, NamedTuple, Sequence
 
-from umbermoor.gateway.screen.registry import Entry, entry_of, merged
+from umbermoor.gateway.screen.registry import KEPT, READY, Entry, entry_of, merged
 
 HOLD = 900_000  # us: how long a member may keep a pull that has no news
 LOST = 2_000_000  # us: a pull that stayed without an answer for so long is made again
 PAUSE = 150_000  # us: after a pull that failed
 GAP = 60_000  # us: between a pull's answer and the next pull, so that changes come together
+FORGET = KEPT + 20_000_000  # us: a machine that has not been ready for so long is dropped
 AGAIN = 700_000  # us: until another member is asked for the body of a configuration
 FRESH = 1_800_000  # us: a member counts as heard for so long after its answer
 
@@ -40,6 +41,7 @@
         self.sources = {seed: Source() for seed in seeds if seed != me}
         self.everyone: tuple[str, ...] = tuple(seeds)
         self.machines: dict[str, Entry] = {}
+        self._away: dict[str, int] = {}  # since when those are not ready
         self.version: tuple[int, int] = (0, 0)  # of the register
         self.register: dict[str, Any] = {}
         self.revision = 0  # of the configuration held whole
@@ -91,6 +93,11 @@
         if members and firm is True:
             self._members(members)
         changed = merged(filter(None, map(entry_of, entries if isinstance(entries, list) else [])), self.machines)
+        for entry in changed:
+            if entry.state == READY:
+                self._away.pop(entry.id, None)
+            else:
+                self._away.setdefault(entry.id, now)
         register = {}
         if firm is True and version >= self.version:
             self.head = head
@@ -121,10 +128,12 @@
         firm = sum(source.firm >= when for source in self.sources.values()) + (self.me in self.everyone)
         return 2 * firm > len(self.everyone)
 
-    def forget(self, now: int, ids: Sequence[str]) -> None:
-        """Drops machines that are long gone, and unknown to the members too."""
-        for id in ids:
-            self.machines.pop(id, None)
+    def forget(self, now: int) -> list[str]:
+        """Drops machines that have not been ready for longer than any member remembers them, and names them."""
+        gone = [id for id, since in self._away.items() if now - since > FORGET]
+        for id in gone:
+            del self._away[id], self.machines[id]
+        return gone
 
 
 class Teller:
--- a/umbermoor/gateway/mast/clients.py
+++ b/umbermoor/gateway/mast/clients.py
@@ -8,6 +8,7 @@
 from umbermoor.http1.writer import REASONS
 
 ROW = 16  # requests of one connection that may wait for their answers
+SLOWEST = 30.0  # s: a request that is not whole by then is given up, however steadily it comes
 CONNECTIONS = 2500  # what strangers can open
 HOP = frozenset(("connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
                  "trailer", "transfer-encoding", "upgrade", "content-length"))
@@ -41,14 +42,14 @@
 class ClientLine(asyncio.Protocol):
     """One client's connection. `front.came(line, slot, request)` starts a request; `told` ends it."""
 
-    __slots__ = "front", "transport", "reader", "row", "timer", "closing", "halted", "at"
+    __slots__ = "front", "transport", "reader", "row", "closing", "halted", "at", "begun"
 
     def __init__(self, front: Any) -> None:
-        self.front, self.transport, self.timer = front, None, None
+        self.front, self.transport = front, None
         self.reader = Reader(front.buffers, body_most=front.body_most)
         self.row: list[list] = []  # [request, (status, body, headers) or None, started], oldest first
         self.closing = self.halted = False
-        self.at = 0.0
+        self.at, self.begun = 0.0, None  # when something passed; since when a request is partly read
 
     def connection_made(self, transport) -> None:
         self.transport = transport
@@ -63,7 +64,9 @@
         self.at = self.front.clock()
         if self.closing:
             return
-        for found in self.reader.feed(data):
+        all_found = self.reader.feed(data)
+        self.begun = None if not self.reader.midway else self.at if all_found or self.begun is None else self.begun
+        for found in all_found:
             if isinstance(found, Fault):
                 self.row.append([None, (found.status, b"", {}), True])
                 self.closing = True
@@ -84,7 +87,7 @@
         for place, slot in enumerate(list(self.row)):
             if slot[0] is None or slot[2]:
                 continue
-            if place and slot[0].method not in ("GET", "HEAD", "OPTIONS"):
+            if place >= ROW or place and slot[0].method not in ("GET", "HEAD", "OPTIONS"):
                 break
             slot[2] = True
             self.front.came(self, slot, slot[0])
@@ -134,8 +137,8 @@
         """Closes what has been idle, and what is slow to send its request."""
         if self.row or self.transport is None:
             return
-        if self.reader.midway:
-            if now - self.at > head_s + 2:
+        if self.begun is not None:
+            if now - self.begun > head_s + 2 and now - self.at > 1 or now - self.begun > SLOWEST:
                 self.transport.write(answer_bytes(408, b"", {}, 0))
                 self.transport.close()
         elif now - self.at > idle_s:
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -352,6 +352,7 @@
                     self.carry(self.member.put(now, self.number, ROLLOUT + service, record))
             self.registry.tick(now, self.member.connected)
             self.save(now)
+            self.pulls.forget(now)
             for name in self.member.everyone:
                 if name != self.papers.ip and name not in self.pulls.sources:
                     self.pulls._members(list(self.member.everyone))
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -309,6 +309,8 @@
             if clock - told >= 1:
                 told = clock
                 self.pool.sweep()
+                for id in self.pulls.forget(now):
+                    self.plants.forget(id)
                 if _changed(self.path) != self.changed:
                     self.read_again()
                 slack, fronts = self.papers.margin("retrySlack", 0.0), self.sonde.count()
--- a/umbermoor/gateway/vane/plants.py
+++ b/umbermoor/gateway/vane/plants.py
@@ -79,6 +79,11 @@
         self.services.get(plant.entry.service, {}).pop(plant.id, None)
         self.changed.add(plant.entry.service)
 
+    def forget(self, id: str) -> None:
+        """No member knows it any more."""
+        if plant := self.by_id.get(id):
+            self._drop(plant)
+
     def wrong(self, plant: Plant) -> None:
         """Another machine has its address."""
         if self.by_id.get(plant.id) is plant:
