--- /dev/null
+++ b/tests/descriptors_test.py
@@ -0,0 +1,107 @@
+"""A front with few descriptors, on loopback: whoever is accepted gets an answer, however busy its turns are."""
+
+import os
+import resource
+import select
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from typing import Iterator
+
+import orjson
+
+from tests.town import GIVEN
+
+ASK = b"GET /up HTTP/1.1\r\nHost: n1\r\n\r\n"
+FEW = 48
+
+
+def _free() -> int:
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return one.getsockname()[1]
+
+
+@contextmanager
+def front(tmp_path) -> Iterator[tuple[int, subprocess.Popen]]:
+    """One that is up, of so few descriptors that its limit in the kernel is that of its configuration."""
+    ports = [_free() for _ in range(3)]
+    given = {**GIVEN, "listen": f"127.0.0.1:{ports[0]}", "discovery": f"127.0.0.1:{ports[1]}",
+             "limits": {"sockets": FEW}, "release_api": {**GIVEN["release_api"], "address": f"127.0.0.1:{ports[2]}"}}
+    path = tmp_path / "front.json"
+    path.write_bytes(orjson.dumps(given))
+    made = subprocess.Popen([sys.executable, "-m", "umbermoor", "serve", "--config", str(path)],
+                            stderr=subprocess.DEVNULL, preexec_fn=lambda: resource.setrlimit(
+                                resource.RLIMIT_NOFILE, (FEW, FEW)))
+    try:
+        until = time.monotonic() + 20
+        while b"200" not in _asked(ports[0]):
+            assert time.monotonic() < until
+            time.sleep(0.05)
+        yield ports[0], made
+    finally:
+        made.kill()
+        made.wait()
+
+
+def _asked(port: int) -> bytes:
+    try:
+        with socket.create_connection(("127.0.0.1", port), 1) as one:
+            one.sendall(ASK)
+            return one.recv(200)
+    except OSError:
+        return b""
+
+
+def _called(port: int) -> socket.socket:
+    one = socket.create_connection(("127.0.0.1", port), 5)
+    one.sendall(ASK)
+    return one
+
+
+def _ends(callers: list[socket.socket], seconds: float) -> list[bytes]:
+    """What each is told first; nothing at all if it was closed before."""
+    said: dict[socket.socket, bytes] = {}
+    until = time.monotonic() + seconds
+    while len(said) < len(callers) and time.monotonic() < until:
+        for one in select.select([one for one in callers if one not in said], [], [], 0.1)[0]:
+            try:
+                said[one] = one.recv(200)
+            except OSError:
+                said[one] = b""
+            one.close()
+    return list(said.values())
+
+
+def test_a_burst_that_a_busy_front_finds_waiting_takes_no_last_descriptor(tmp_path) -> None:
+    """Threat: accepted a hundred at once, the last are closed without a word, though their requests had come."""
+    with front(tmp_path) as (port, made):
+        os.kill(made.pid, signal.SIGSTOP)
+        callers = [_called(port) for _ in range(120)]
+        os.kill(made.pid, signal.SIGCONT)
+        said = _ends(callers, 30)
+    assert len(said) == 120 and all(one.startswith(b"HTTP/1.1 ") for one in said), said.count(b"")
+
+
+def test_a_connection_whose_next_request_has_come_is_not_closed_as_idle(tmp_path) -> None:
+    """Threat: in a long turn a request waits unread, and its connection gives way to another as idle."""
+    with front(tmp_path) as (port, made):
+        kept = _called(port)
+        assert kept.recv(200).startswith(b"HTTP/1.1 200")
+        callers = []
+        for more in 12, 8:  # as many as the first time are accepted in one turn the second time
+            os.kill(made.pid, signal.SIGSTOP)
+            new = [_called(port) for _ in range(more)]
+            if callers:
+                kept.sendall(ASK)
+            os.kill(made.pid, signal.SIGCONT)
+            if not callers:
+                assert all(one.recv(200) for one in new)
+            callers += new
+        said = _ends([kept], 10)
+        for one in callers:
+            one.close()
+    assert said and said[0].startswith(b"HTTP/1.1 "), said
--- a/umbermoor/node/clients.py
+++ b/umbermoor/node/clients.py
@@ -3,11 +3,13 @@
 import logging
 import re
 from collections import deque
+from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Callable, Mapping, NamedTuple
 from typing import Protocol as Protocol_
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.tcp import Port
 from twisted.python.failure import Failure
 
 from umbermoor.facade import Asked
@@ -68,7 +70,8 @@
         self.up = self.leaving = False
         self.keeper: Keeper | None = None
         self.in_hand: Callable[[], int] = lambda: 0
-        self.over = 0  # connections beyond the budget
+        self._accepting = True
+        budget.freed = self.settle
         self.once: dict[Client, None] = {}  # idle since their first answer, the longest first
         self.accept: Callable[[bool], None] = lambda on: None  # whether to accept further ones
         self.open: dict[Client, None] = {}  # the one that spoke last stands last
@@ -93,20 +96,29 @@
     def close_one(self, after: int = 0) -> bool:
         """The connection that has been idle longest, if that is as long as this."""
         since = self.clock() - after
-        idle = next((client for client in self.open if client.idle and client.since <= since), None)
+        idle = next((one for one in self.open if one.idle and one.since <= since and not one.unread), None)
         if idle is not None:
             idle.close()
         return idle is not None
 
-    def count_over(self, change: int) -> None:
-        """Threat: a burst takes the last descriptor, and accepting fails. What waits is kept by the kernel."""
-        was, self.over = self.over >= OVER_MOST, self.over + change
-        if was != (self.over >= OVER_MOST):
-            self.accept(was)
+    def settle(self) -> None:
+        """Whether further ones are accepted. Threat: a burst takes the last descriptor, and what is accepted then is
+        closed without an answer. What waits is kept by the kernel."""
+        accepting = self.budget.over < OVER_MOST and self.budget.room > 0
+        if accepting != self._accepting:
+            self._accepting = accepting
+            self.accept(accepting)
+
+    def bound(self, port: Port) -> None:
+        """Threat: a turn of a busy front accepts a hundred at once, whatever was said meanwhile."""
+        def turn() -> None:
+            port.numberAccepts = max(1, self.budget.room)
+            type(port).doRead(port)
+        port.doRead = turn
 
     def close_idle(self) -> None:
         for client in list(self.open):
-            if client.idle:
+            if client.idle and not client.unread:
                 client.close()
 
     def drop(self) -> None:
@@ -158,11 +170,20 @@
     def idle(self) -> bool:
         return self._working is None and not self._waiting and not self._reader.midway and not self._closing
 
+    @property
+    def unread(self) -> bool:
+        """Whether its next request has come, not read yet. Threat: in a long turn it looks idle, and is closed."""
+        try:
+            return bool(self.transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT))
+        except (AttributeError, OSError):  # nothing there
+            return False
+
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self._counted = self._clients.budget.take()
         if not self._counted:
-            self._clients.count_over(1)
+            self._clients.budget.over += 1
+        self._clients.settle()
         self._clients.open[self] = None
         self.since = self._clients.clock()
         self._timer = self._clients.reactor.callLater(READ_WITHIN, self._too_slow)
@@ -193,7 +214,8 @@
         if self._counted:
             self._clients.budget.give()
         else:
-            self._clients.count_over(-1)
+            self._clients.budget.over -= 1
+            self._clients.settle()
         if self._working is not None:
             self._working.cancel()
 
--- a/umbermoor/node/service.py
+++ b/umbermoor/node/service.py
@@ -138,6 +138,7 @@
             self.status = 1
             self._reactor.stop()
             return
+        self._clients.bound(self._port)
         self._clients.accept = lambda on: (self._port.startReading if on else self._port.stopReading)()
         self._reactor.callLater(UP_WITHIN, self._go_up)
         self._counting = self._reactor.callLater(COUNT_EVERY, self._count)
