--- a/umbermoor/rules.py
+++ b/umbermoor/rules.py
@@ -436,8 +436,10 @@
     def _choose(self, now: int, held: Query, left: int) -> Machine | None:
         """The trial's turn goes by its machines' share; within a build the machine that seems nearest."""
         (steady, trial), pool = self.sides, []
-        # Threat: a turn that finds the credit not full yet is lost, and half of the trial's share with it.
-        self.owed = min(MOST_OWED, self.owed + self.share * (not held.hand_offs))
+        # Threat: a turn that finds the credit not full yet is lost, and half of the trial's share with it. Few fronts
+        # leave it: to catch up whatever waits there makes a good build late beside the others in a full fleet.
+        owed = self.owed * (self.charter.fronts > CIRCLE)
+        self.owed = min(MOST_OWED, owed + self.share * (not held.hand_offs))
         if not held.hand_offs and self.random() < self.owed:
             near = self._near(now, trial)
             pool = self._able(now, held, near)
