--- /dev/null
+++ b/benchmarks/turns.py
@@ -0,0 +1,126 @@
+"""Two revisions played by turns on named days of a bench, each in a work tree of its own; day by day with spread.
+
+Usage: python -m benchmarks.turns OLD NEW --bench PATH [--plays N] [--lock FILE] [--json FILE] DAY [DAY ...]
+
+A DAY is what the bench is told, in one word for the shell: "replay SITE overload", "SITE --rough churn --seed 7",
+"score SITE --quick". With a lock, each play waits for it (flock), so that nothing else plays beside it. What the bench
+notes of its plays in journal/ is copied to the present tree, unchanged.
+"""
+
+import argparse
+import re
+import shlex
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections import defaultdict
+from pathlib import Path
+from typing import Iterator, NamedTuple
+
+from benchmarks.common import show, spread
+
+ROWS = (re.compile(r"^(\S+)\s.*?\s\d+x\d+\s+(-?\d+\.\d+)\s+(-?\d+\.\d+)\s"),  # simulated: day, size, G, score
+        re.compile(r"^(\S+)\s+G (-?\d+\.\d+)\s.*\bscore (-?\d+\.\d+)"))  # on sockets
+BROKEN = re.compile(r"\bBROKEN?\b")
+
+
+class Row(NamedTuple):
+    day: str
+    g: float
+    score: float
+    broken: bool
+
+
+def rows(text: str) -> Iterator[Row]:
+    """The days in a bench's report. Where no day has a rule to itself, a broken one is that of all.
+
+    >>> [*rows("overload   shared_slow   1x12  0.394   0.59   -  -0.135    0.670 (0.90)   0.765  19% refused")]
+    [Row(day='overload', g=0.394, score=0.59, broken=False)]
+    >>> [*rows("churn   G 0.651  floor 0.229  top 0.679  memory 25 of 80 MB  score 0.94  BROKEN: lost 13 times")]
+    [Row(day='churn', g=0.651, score=0.94, broken=True)]
+    """
+    lines = text.splitlines()
+    found = [(line, match) for line in lines if (match := next(filter(None, (one.match(line) for one in ROWS)), None))]
+    told = [bool(BROKEN.search(line)) for line, _ in found]
+    all_of_them = not any(told) and any(BROKEN.search(line) for line in lines)
+    for (_, match), broken in zip(found, told):
+        yield Row(match[1], float(match[2]), float(match[3]), broken or all_of_them)
+
+
+def played(tree: Path, bench: str, day: str, why: str, lock: str | None) -> list[Row]:
+    command = [*(("flock", lock) if lock else ()), bench, *shlex.split(day), "--why", why]
+    ended = subprocess.run(command, cwd=tree, capture_output=True, text=True)
+    found = [*rows(ended.stdout)]
+    if not found:
+        print(f"no figure for {day!r}: status {ended.returncode}", *ended.stdout.splitlines()[-3:],
+              *ended.stderr.splitlines()[-3:], sep="\n  ", file=sys.stderr)
+    return found
+
+
+def by_turns(trees: list[Path], bench: str, days: list[str], plays: int, why: str,
+             lock: str | None = None) -> list[dict]:
+    """Who goes first changes with each turn, so that what the machine does meanwhile falls on both alike."""
+    seen: dict[str, list[list[Row]]] = defaultdict(lambda: [[] for _ in trees])
+    for turn in range(plays):
+        for day in days:
+            for at in sorted(range(len(trees)), reverse=bool(turn % 2)):
+                for row in played(trees[at], bench, day, why, lock):
+                    seen[row.day][at].append(row)
+    table = []
+    for day, sides in seen.items():
+        made: dict = {"day": day}
+        for name, side in zip(("old", "new"), sides):
+            made |= {f"{name} score": spread([row.score for row in side]) if side else "-",
+                     f"{name} G": spread([row.g for row in side]) if side else "-",
+                     f"{name} plays": len(side), f"{name} broken": sum(row.broken for row in side)}
+        if all(sides):
+            old, new = (sum(row.score for row in side) / len(side) for side in sides)
+            made["mean change"] = f"{new - old:+.3f}"
+        table.append({"mean change": "-"} | made if not all(sides) else made)
+    return table
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.turns")
+    parser.add_argument("old")
+    parser.add_argument("new")
+    parser.add_argument("days", nargs="+")
+    parser.add_argument("--bench", required=True)
+    parser.add_argument("--plays", type=int, default=3)
+    parser.add_argument("--lock")
+    parser.add_argument("--json")
+    given = parser.parse_args()
+    here = Path(subprocess.run(["git", "rev-parse", "--show-toplevel"], check=True, capture_output=True,
+                               text=True).stdout.strip())
+    bench = str(Path(given.bench).resolve()) if Path(given.bench).exists() else given.bench
+    # What a day names by a path is meant from here; the plays run elsewhere.
+    days = [shlex.join(str(Path(word).resolve()) if "/" in word and Path(word).exists() else word
+                       for word in shlex.split(day)) for day in given.days]
+    with tempfile.TemporaryDirectory(prefix="um") as folder:
+        trees = [Path(folder, name) for name in ("old", "new")]
+        try:
+            for tree, revision in zip(trees, (given.old, given.new)):
+                subprocess.run(["git", "worktree", "add", "-q", "--detach", str(tree), revision], cwd=here, check=True)
+                needs = "requirements.txt"
+                if Path(here, ".venv", needs).exists() and (
+                        Path(here, ".venv", needs).read_bytes() == Path(tree, needs).read_bytes()):
+                    Path(tree, ".venv").symlink_to(Path(here, ".venv"))
+            table = by_turns(trees, bench, days, given.plays, f"By turns: {given.old} against {given.new}"[:119],
+                             given.lock)
+        finally:
+            for tree in trees:
+                for note in Path(tree, "journal").rglob("*"):
+                    kept = here / note.relative_to(tree)
+                    if note.is_file() and not kept.exists():
+                        kept.parent.mkdir(parents=True, exist_ok=True)
+                        shutil.copy2(note, kept)
+                subprocess.run(["git", "worktree", "remove", "--force", str(tree)], cwd=here, check=False)
+    if table:
+        show(f"{given.old} and {given.new}, by turns", table, given.json)
+    if not table or any(row["new broken"] for row in table):
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
