--- a/tests/descriptors_test.py
+++ b/tests/descriptors_test.py
@@ -12,7 +12,14 @@
 from typing import Iterator
 
 import orjson
+from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
 
+from umbermoor.http1.buffers import Buffers
+from umbermoor.node.budget import Budget
+from umbermoor.node.clients import READ_LEAST, READ_WITHIN, Clients
+
+from tests.leaving_test import Pipe
 from tests.town import GIVEN
 
 ASK = b"GET /up HTTP/1.1\r\nHost: n1\r\n\r\n"
@@ -105,3 +112,34 @@
         for one in callers:
             one.close()
     assert said and said[0].startswith(b"HTTP/1.1 "), said
+
+
+class Unread(Pipe):
+    """A connection on which bytes wait in the kernel."""
+
+    def getHandle(self) -> "Unread":
+        return self
+
+    def recv(self, size: int, flags: int) -> bytes:
+        return ASK[:size]
+
+    def loseConnection(self) -> None:
+        self.aborted = True
+
+
+def test_a_request_that_came_in_time_is_answered_though_a_turn_took_longer() -> None:
+    """Threat: its time runs out in the same turn in which it would be read, and that comes first. Who sends on without
+    end has no more than that turn."""
+    reactor = MemoryReactorClock()
+    clients = Clients(reactor, lambda: round(reactor.seconds() * 1e6), Buffers(64 << 20), Budget(200), {}, [],
+                      lambda _query: Deferred())
+    pipes = [Unread() for _ in range(2)]
+    made = [clients.buildProtocol(None) for _ in pipes]
+    for client, pipe in zip(made, pipes):
+        client.makeConnection(pipe)
+    reactor.advance(READ_WITHIN)
+    assert not any(pipe.aborted for pipe in pipes)
+    made[0].dataReceived(ASK)
+    reactor.advance(READ_LEAST)
+    answered, endless = pipes
+    assert answered.value().startswith(b"HTTP/1.1 ") and not answered.aborted and endless.aborted
--- a/umbermoor/node/clients.py
+++ b/umbermoor/node/clients.py
@@ -31,6 +31,7 @@
 QUEUED = 16  # requests that may stand behind the one in work on a connection
 LINGER = 1.0  # seconds that a client has to close after its last answer
 READ_WITHIN = 2.5  # seconds from connecting, and then from a request's first byte, until that request is whole
+READ_LEAST = 0.01  # what came by then and waits unread is read within this, in the next turn
 ONCE_PART, ONCE_LEAST = 6, 16  # one in so many of the budget's connections may have asked once and stay, or so many
 STALE = 2 * SECOND  # a connection without an open request may be closed from then on
 
@@ -303,10 +304,12 @@
         if self._timer is None and self._reader.midway and self._working is None:
             self._timer = self._clients.reactor.callLater(READ_WITHIN, self._too_slow)
 
-    def _too_slow(self) -> None:
+    def _too_slow(self, looked: bool = False) -> None:
         self._timer = None
         if self._working is None and not self._closing:
-            if self._reader.midway:
+            if self.unread and not looked:  # threat: after a long turn its time is up before what came is read
+                self._timer = self._clients.reactor.callLater(READ_LEAST, self._too_slow, True)
+            elif self._reader.midway:
                 self._answer(Answer(408), False)
             else:
                 self.close()
