--- a/umbermoor/gateway/mast/clients.py
+++ b/umbermoor/gateway/mast/clients.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from umbermoor.gateway.mast.post import quicken
-from umbermoor.http1.reader import Fault, Reader, Request, Response
+from umbermoor.http1.reader import Fault, Reader, Request
 from umbermoor.http1.writer import REASONS
 
 ROW = 16  # requests of one connection that may wait for their answers
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -281,7 +281,7 @@
         return next(iter(self.member.story()["chain"]), "")
 
     def save(self, now: int) -> None:
-        """Keeps the list of machines, so that a restart of all members does not begin with none. Lost, it is refilled."""
+        """Keeps the list of machines, so that a restart of all members begins with them. Lost, it is refilled."""
         if self.saving or self.registry.shape == self.saved or now - self.saved_at < SAVE:
             return
         self.saving, self.saved, self.saved_at = True, self.registry.shape, now
--- a/umbermoor/gateway/mast/lines.py
+++ b/umbermoor/gateway/mast/lines.py
@@ -28,7 +28,7 @@
                  bodiless: bool = False) -> None:
         self.data, self.id, self.done, self.sent, self.over = data, id, done, False, False
         self.bodiless = bodiless  # it is a HEAD
-        self.line: "MachineLine | None" = None  # that carries it
+        self.line: MachineLine | None = None  # that carries it
 
     def end(self, fate: Fate, response: Response | None = None) -> None:
         if not self.over:
--- a/umbermoor/gateway/screen/registry.py
+++ b/umbermoor/gateway/screen/registry.py
@@ -75,7 +75,7 @@
 
 
 class Registry:
-    """Machines by id. `number` rises with each change; `life` tells this member's counts from those of earlier lives."""
+    """Machines by id. `number` rises with each change; `life` tells its counts from those of earlier lives."""
 
     def __init__(self, life: int, period: int) -> None:
         self.life, self.period, self.number = life, period, 0
