--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -65,9 +65,9 @@
 class Member:
     """A state machine; every input returns the effects it has.
 
-    `me` and `seeds` are IP addresses, the seeds the same in the same order everywhere; the first of them founds. `bear`:
-    disks that may be lost at once. `cold`: an empty disk is a new system's, not a lost one. `stored`: what Store.load
-    gave. `admit(key, old, new)` tells at the head whether a put changes anything; old is None where there is nothing.
+    `me` and `seeds` are IP addresses, the seeds the same in the same order everywhere; the first of them founds.
+    `bear`: disks that may be lost at once. `cold`: an empty disk is a new system's, not a lost one. `stored`: what
+    Store.load gave. `admit(key, old, new)` tells at the head whether a put changes anything; old is None where there is nothing.
     """
 
     def __init__(
