--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -67,7 +67,8 @@
 
     `me` and `seeds` are IP addresses, the seeds the same in the same order everywhere; the first of them founds.
     `bear`: disks that may be lost at once. `cold`: an empty disk is a new system's, not a lost one. `stored`: what
-    Store.load gave. `admit(key, old, new)` tells at the head whether a put changes anything; old is None where there is nothing.
+    Store.load gave. `admit(key, old, new)` tells at the head whether a put changes anything; old is None where there is
+    nothing.
     """
 
     def __init__(
