--- a/umbermoor/gateway/anemometer/plan.py
+++ b/umbermoor/gateway/anemometer/plan.py
@@ -25,6 +25,7 @@
 LONE = 0.08  # bad answers that nothing is made of while no earlier version is there to compare with
 SURE = 0.985  # a mean above this is taken for this, so that s never vanishes
 
+ROLLOUT = "rollout/"  # begins the register's keys of roll-outs; the service is behind it
 Record = dict[str, Any]  # order, serial, target, from, rampS, state, stage, elapsed, why; of what JSON can hold
 
 
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -10,7 +10,6 @@
 GAP = 60_000  # us: between a pull's answer and the next pull, so that changes come together
 FORGET = KEPT + 20_000_000  # us: a machine that has not been ready for so long is dropped
 AGAIN = 700_000  # us: until another member is asked for the body of a configuration
-FRESH = 1_800_000  # us: a member counts as heard for so long after its answer
 
 
 class Heard(NamedTuple):
@@ -24,11 +23,11 @@
 class Source:
     """One member of the core, as a reader sees it."""
 
-    __slots__ = "asked", "heard", "firm", "life", "number", "next"
+    __slots__ = "asked", "firm", "life", "number", "next"
 
     def __init__(self) -> None:
         self.asked: int | None = None
-        self.heard = self.firm = -(1 << 60)
+        self.firm = -(1 << 60)
         self.life = self.number = 0
         self.next = 0
 
@@ -86,12 +85,12 @@
             offered, head = int(message["revision"]), str(message["head"])
         except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             return None
-        source.asked, source.heard, source.life, source.number = None, now, life, number
+        source.asked, source.life, source.number = None, life, number
         source.next = now + GAP
         if firm is True:
             source.firm = now
         if members and firm is True:
-            self._members(members)
+            self.members(members)
         changed = merged(filter(None, map(entry_of, entries if isinstance(entries, list) else [])), self.machines)
         for entry in changed:
             if entry.state == READY:
@@ -113,7 +112,8 @@
         if not self.told and name != self.me:
             self.sources.setdefault(name, Source())
 
-    def _members(self, members: list[str]) -> None:
+    def members(self, members: Sequence[str]) -> None:
+        """Who the core's members are; nobody else is asked."""
         self.everyone, self.told = tuple(members), True
         for name in members:
             if name != self.me and name not in self.sources:
@@ -137,7 +137,7 @@
 
 
 class Teller:
-    """A member's side: pulls that wait for news. `answer` is called by the host when something changed."""
+    """A member's side: pulls that wait for news. The host calls `due` when something changed."""
 
     def __init__(self) -> None:
         self.waiting: dict[Any, tuple[int, dict[str, Any]]] = {}  # by connection: until when, the pull
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -13,7 +13,7 @@
 from umbermoor.gateway.almanac.faults import Fault
 from umbermoor.gateway.almanac.papers import Papers
 from umbermoor.gateway.anemometer.core import Steps
-from umbermoor.gateway.anemometer.plan import newer
+from umbermoor.gateway.anemometer.plan import ROLLOUT, newer
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.store import Store
 from umbermoor.gateway.effects import Answer, Code, Effect, Send, Write
@@ -32,7 +32,7 @@
 HEARD = 0.7  # s: for a majority to note what may not be lost
 LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
 STATUS = {Code.OK: 200, Code.LATER: 503, Code.CLASH: 409, Code.WRONG: 422, Code.UNKNOWN: 404}
-CONFIG, ROLLOUT, MACHINES = "config", "rollout/", "machines"
+CONFIG, MACHINES = "config", "machines"
 SAVE = SECOND  # us: the list of machines is written no more often
 
 
@@ -357,9 +357,8 @@
             self.registry.tick(now, self.member.connected)
             self.save(now)
             self.pulls.forget(now)
-            for name in self.member.everyone:
-                if name != self.papers.ip and name not in self.pulls.sources:
-                    self.pulls._members(list(self.member.everyone))
+            if any(name != self.papers.ip and name not in self.pulls.sources for name in self.member.everyone):
+                self.pulls.members(self.member.everyone)
             for name in self.pulls.due(now):
                 self.post.send(name, self.pulls.pull(now, name))
             if any(now >= until for until, _ in self.teller.waiting.values()):
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -13,6 +13,7 @@
 from umbermoor.gateway.almanac.papers import Papers, read_papers
 from umbermoor.gateway.almanac.routes import Route, Routes
 from umbermoor.gateway.anemometer.front import Trials
+from umbermoor.gateway.anemometer.plan import ROLLOUT
 from umbermoor.gateway.heliograph.reader import Reader as Pulls
 from umbermoor.gateway.mast import datagrams
 from umbermoor.gateway.mast.clients import ClientLine, request_bytes
@@ -229,14 +230,15 @@
             if message.get("firm") is True:
                 self.trials.heard(now)
             for key, record in heard.register.items():
-                if key.startswith("rollout/"):
-                    self.trials.order(now, key[8:], record)
+                if key.startswith(ROLLOUT):
+                    service = key[len(ROLLOUT):]
+                    self.trials.order(now, service, record)
                     stage = record["state"], record["target"], record["stage"]
                     if self.stages.get(key) != stage:
                         self.stages[key] = stage
-                        event("rollout", service=key[8:], state=stage[0], target=stage[1], stage=stage[2])
+                        event("rollout", service=service, state=stage[0], target=stage[1], stage=stage[2])
             for service in self.plants.changed:
-                if message.get("firm") is True and f"rollout/{service}" not in self.pulls.register:
+                if message.get("firm") is True and ROLLOUT + service not in self.pulls.register:
                     self.trials.order(now, service, None)
                 self.trials.listed(now, service, [(one.id, one.entry.revision, one.listed)
                                                   for one in self.plants.listed(service)])
--- a/umbermoor/gateway/mast/post.py
+++ b/umbermoor/gateway/mast/post.py
@@ -136,9 +136,7 @@
         self._lost(line)
 
     def send(self, to: str, message: dict[str, Any]) -> None:
-        self.send_frame(to, frame(message))
-
-    def send_frame(self, to: str, data: bytes) -> None:
+        data = frame(message)
         held = self.outgoing.get(to)
         if isinstance(held, Line):
             held.send(data)
@@ -166,9 +164,3 @@
         waiting, self.outgoing[to] = self.outgoing.get(to, []), line
         for data in waiting if isinstance(waiting, list) else []:
             line.send(data)
-
-    def drop(self, to: str) -> None:
-        """Breaks the line to a peer that says nothing."""
-        held = self.outgoing.get(to)
-        if isinstance(held, Line) and held.transport:
-            held.transport.abort()
--- a/umbermoor/gateway/screen/registry.py
+++ b/umbermoor/gateway/screen/registry.py
@@ -61,8 +61,10 @@
                  STATES[body["state"]], round(warm * 1e6), int(sample))
 
 
-def later(old: Entry, new: Entry) -> Entry | None:
-    """What holds of the two where that is not the old one."""
+def later(old: Entry | None, new: Entry) -> Entry | None:
+    """What holds of the two where that is not the old one; there may be none."""
+    if old is None:
+        return new
     if old.state == GONE:
         return None
     if new.state == GONE:
@@ -89,7 +91,7 @@
     def take(self, now: int, entry: Entry) -> bool:
         """Notes what a beat or another member says. Whether it was news."""
         old = self.entries.get(entry.id)
-        held = later(old, entry) if old else entry
+        held = later(old, entry)
         if held is None or old is None and len(self.entries) >= MOST:
             return False
         self.entries[entry.id] = held
@@ -139,8 +141,7 @@
     """Takes entries into a table; those that changed it, as they now hold."""
     changed = []
     for entry in entries:
-        old = held.get(entry.id)
-        new = later(old, entry) if old else entry
+        new = later(held.get(entry.id), entry)
         if new is not None:
             held[entry.id] = new
             changed.append(new)
