--- /dev/null
+++ b/tests/gateway/features/control.feature
@@ -0,0 +1,46 @@
+Feature: Control decides once
+  Every order is decided at the head against what stands there, and what cannot prove contact says so.
+
+  Scenario Outline: Configurations <puts> come to <outcomes>
+    Then configurations <puts> come to <outcomes>
+
+    Examples: a number and its content; capital letters are the same JSON in another order
+      | puts              | outcomes                          |
+      | 5a 5a 5A          | taken same same                   |
+      | 5a 5b 5a          | taken clash same                  |
+      | 5a 4b 4c          | taken older older                 |
+      | 5a 7b 5a 5c       | taken taken same clash            |
+      | 5a 7b 9c 7b 7a 6a | taken taken taken same clash older |
+
+  Scenario: Numbers are known again as far back as is stated, and in bounded room
+    Then of 300 configurations the last 129 are known again, in at most 2200 bytes beside the text
+
+  Scenario: What has not the shape of an order changes nothing
+    Then puts of another shape are a clash, and none raises
+
+  Scenario Outline: Roll-outs <orders> come to <outcomes>
+    Then roll-outs <orders> come to <outcomes>
+
+    Examples: a target, with a key behind "#"; "!" says how the one under way ended
+      | orders                        | outcomes                     |
+      | v2 v2 v3 v2                   | taken same clash same        |
+      | v2 !settled v2 v3 v2 v3       | taken same taken same same   |
+      | v2 !reverted v2 v2#x v2#x     | taken same taken same        |
+      | v2#x v2#x v2 v2#y             | taken same same clash        |
+      | v2 !settled v3 !reverted v2#n | taken taken taken            |
+
+  Scenario Outline: A stage decided <when> is <told>
+    Then a stage decided <when> is <told>
+
+    Examples:
+      | when                                 | told  |
+      | on the record that stands            | taken |
+      | under an earlier epoch               | older |
+      | under a later epoch                  | older |
+      | on an earlier record                 | older |
+      | on the record of an earlier order    | older |
+      | after it was reverted                | older |
+
+  Scenario: What the earlier revision stored is read
+    Given the control's members hold a store of the earlier revision
+    Then each control's member tells same, clash and taken as if it had been put under this one
--- /dev/null
+++ b/tests/gateway/features/steps/control_steps.py
@@ -0,0 +1,147 @@
+"""Steps of control.feature: the judging of orders alone, and members with it in virtual time."""
+
+import json
+import random
+
+from behave import given, then
+
+from tests.gateway.world import MS, World
+from umbermoor.gateway.anemometer.plan import ROLLOUT
+from umbermoor.gateway.anemometer.trial import ask, first_record, step
+from umbermoor.gateway.effects import Code, Outcome
+from umbermoor.gateway.logbook.orders import CONFIG, KNOWN, configuration, digest, judge
+
+
+def body(revision, content):
+    """A configuration; capital letters are the same in another order."""
+    routes = {"r": {"host": "h", "prefix": f"/{content.lower()}/", "tries": 2}, "other": {"tries": 1}}
+    whole = {"revision": f"{revision:08x}", "routes": routes, "services": {"s": {}}}
+    if content.isupper():
+        whole = {key: dict(reversed(part.items())) if key == "routes" else part
+                 for key, part in reversed(whole.items())}
+        whole["revision"] = whole["revision"].upper()
+        whole["routes"]["other"] = {"tries": 1.0}
+    return whole
+
+
+def value(revision, content):
+    whole = body(revision, content)
+    return configuration(revision, json.dumps(whole, indent=1 if content.isupper() else None), digest(whole))
+
+
+def put(held, key, new, epoch=5):
+    verdict = judge(held, key, new, epoch)
+    assert (verdict.value is not None) == (verdict.outcome is Outcome.TAKEN)
+    if verdict.outcome is Outcome.TAKEN:
+        held[key] = json.loads(json.dumps(verdict.value))
+    return verdict
+
+
+@then("configurations {puts} come to {outcomes}")
+def _(context, puts, outcomes):
+    held = {}
+    told = [put(held, CONFIG, value(int(one[:-1]), one[-1])).outcome.value for one in puts.split()]
+    assert told == outcomes.split(), told
+    last = max(puts.split(), key=lambda one: int(one[:-1]))
+    assert json.loads(held[CONFIG]["text"])["routes"]["r"]["prefix"] == f"/{last[-1]}/"
+
+
+@then("of {count:d} configurations the last {known:d} are known again, in at most {most:d} bytes beside the text")
+def _(context, count, known, most):
+    held = {}
+    for number in range(1, count + 1):
+        assert put(held, CONFIG, value(number, "a")).outcome is Outcome.TAKEN
+    assert known == KNOWN + 1
+    for number in range(1, count + 1):
+        told = [put(held, CONFIG, value(number, content)).outcome.value for content in "ab"]
+        assert told == (["same", "clash"] if number > count - known else ["older", "older"]), (number, told)
+    assert len(json.dumps(held[CONFIG])) - len(json.dumps(held[CONFIG]["text"])) <= most
+
+
+@then("puts of another shape are a clash, and none raises")
+def _(context):
+    chance = random.Random(1)
+    junk = [None, -1, 2**70, 1.5, True, "", "x", [], [1], [[]], {}, {"a": 1}, "[" * 9000, "{", "\ud800"]
+    record = first_record(None, ask("v2", 12, ["v1"]))
+    for held in {}, {CONFIG: value(5, "a"), ROLLOUT + "s": record}:
+        for _ in range(3000):
+            key, good = chance.choice(((CONFIG, value(6, "b")), (ROLLOUT + "s", record | {"begin": ask("v3", 1, [])}),
+                                       (ROLLOUT + "s", step(record | {"serial": 1}, record, 5)), ("other", {})))
+            if chance.random() < 0.2:
+                good = chance.choice(junk)
+            else:
+                for _ in range(chance.choice((1, 2))):
+                    good[chance.choice([*good, "begin", "on"])] = chance.choice(junk)
+            judge(held, key, good, 5)
+        for key, odd in ((CONFIG, 7), (CONFIG, {}), (CONFIG, {"revision": "5", "text": "{}"}), (ROLLOUT + "s", None),
+                         (CONFIG, {"revision": 2**40, "text": "{}"}), (CONFIG, {"revision": 9, "text": "no JSON"})):
+            assert judge(held, key, odd, 5).outcome is Outcome.CLASH, (key, odd)
+
+
+@then("roll-outs {orders} come to {outcomes}")
+def _(context, orders, outcomes):
+    held, told, key = {CONFIG: value(1, "a")}, [], ROLLOUT + "s"
+    for one in orders.split():
+        if one[0] == "!":
+            held[key]["state"] = one[1:]
+            continue
+        target, _, name = one.partition("#")
+        told.append(put(held, key, {"begin": ask(target, 12, ["v1"], name)}).outcome.value)
+    assert told == outcomes.split(), told
+    assert judge({CONFIG: value(1, "a")}, ROLLOUT + "t", {"begin": ask("v2", 12, [])}, 5).outcome is Outcome.UNKNOWN
+
+
+@then("a stage decided {when} is {told}")
+def _(context, when, told):
+    first = first_record(None, ask("v2", 12, ["v1"])) | {"serial": 3}
+    held, on, epoch = {ROLLOUT + "s": first}, first, 5
+    if "epoch" in when:
+        epoch += 1 if "later" in when else -1
+    elif when == "on an earlier record":
+        on = first | {"serial": 2}
+    elif "order" in when:
+        held[ROLLOUT + "s"] = first_record(first | {"state": "settled"}, ask("v3", 12, []))
+    elif "reverted" in when:
+        held[ROLLOUT + "s"] = first | {"state": "reverted"}
+    new = on | {"serial": on["serial"] + 1, "stage": 1}
+    assert put(held, ROLLOUT + "s", step(new, on, epoch)).outcome.value == told
+    if told == "taken":
+        assert held[ROLLOUT + "s"] == new  # nothing beside the record is stored
+
+
+@given("the control's members hold a store of the earlier revision")
+def _(context):
+    context.stored = json.dumps(body(5, "a"))
+    record = first_record(None, ask("v2", 12, ["v1"]))
+    del record["known"]
+    stored = {"members": ["10.0.0.1", "10.0.0.2", "10.0.0.3"], "promise": 17001, "version": [17001, 2],
+              "view": [17001, ["10.0.0.1", "10.0.0.2", "10.0.0.3"]], "state/rollout/s": record,
+              "state/config": {"revision": 5, "text": context.stored}}
+    world = context.world = World(1, judge=judge)
+    for machine in world.machines.values():
+        machine.disk = {key: json.dumps(one).encode() for key, one in stored.items()}
+    world.start_all(cold=False)
+    assert world.run(5_000 * MS, world.whole)
+
+
+@then("each control's member tells same, clash and taken as if it had been put under this one")
+def _(context):
+    world = context.world
+
+    def told(name, key, new):
+        number = world.put(name, key, new)
+        world.run(900 * MS)
+        return world.calls[number].answered
+
+    for name in world.names:
+        assert told(name, CONFIG, value(5, "A")) is Code.OK
+        assert told(name, CONFIG, value(5, "b")) is Code.CLASH
+        assert told(name, ROLLOUT + "s", {"begin": ask("v2", 9, [])}) is Code.OK
+        assert told(name, ROLLOUT + "s", {"begin": ask("v3", 9, [])}) is Code.CLASH
+    read = world.read(world.names[0])
+    world.run(900 * MS)
+    assert world.calls[read].answered is Code.OK
+    assert world.machines[world.names[0]].member.committed[CONFIG] == {"revision": 5, "text": context.stored}
+    assert told(world.names[1], CONFIG, value(6, "b")) is Code.OK
+    assert told(world.names[2], CONFIG, value(5, "b")) is Code.CLASH and told(
+        world.names[2], CONFIG, value(5, "a")) is Code.OK
--- a/umbermoor/gateway/anemometer/core.py
+++ b/umbermoor/gateway/anemometer/core.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 from umbermoor.gateway.anemometer.plan import (ALL, LEAST, LONE, MARGIN, SECOND, SIGMA, STARTS, SURE,
-                                               Record, earliest, newer, speaks)
-from umbermoor.gateway.effects import Code
+                                               Record, newer, speaks)
+from umbermoor.gateway.anemometer.trial import ask, judge_begin
+from umbermoor.gateway.effects import Code, Outcome
 from umbermoor.ground.testroll import posterior, spread, weight
 
 WORSE = (0.1, 0.3, 0.6)  # shares of else good answers that bad versions are supposed to spoil
@@ -78,8 +79,9 @@
 class Steps:
     """Roll-outs at the member that leads them; any member can go on from the durable record and the reports.
 
-    What `begin` and `tick` return is to be put durably, whole, under the service's name. Where the store can, only
-    in place of the record with the serial before it: then two members that both think they lead do no harm."""
+    What `tick` returns is to be put durably, whole, under the service's name, only in place of the record that it was
+    decided on (trial.py): then two members that both think they lead do no harm. `begin` judges an order as the head
+    does, beside this member's own copy."""
 
     def __init__(self) -> None:
         self.orders: dict[str, _Order] = {}
@@ -91,17 +93,8 @@
                 isinstance(ramp_s, (int, float)) and 0 < ramp_s < float("inf")):
             return Code.WRONG
         held = self.orders.get(service)
-        last = held.record if held else None
-        if last and last["target"] == target:
-            return Code.OK
-        if last and last["state"] == "running":
-            return Code.CLASH
-        if last and last["state"] == "settled":
-            before = [last["target"]]
-        else:
-            before = last["from"] if last else [one for one in earliest(present) if one != target]
-        return {"order": last["order"] + 1 if last else 1, "serial": 0, "target": target, "from": before,
-                "rampS": ramp_s, "state": "running", "stage": 0, "elapsed": 0.0, "why": ""}
+        told = judge_begin(held.record if held else None, ask(target, ramp_s, present), lambda: True)
+        return told.value if told.outcome is Outcome.TAKEN else Code.OK if told.outcome is Outcome.SAME else Code.CLASH
 
     def read(self, service: str) -> dict[str, str] | Code:
         """What an operator reads: state and target."""
--- a/umbermoor/gateway/barograph/__init__.py
+++ b/umbermoor/gateway/barograph/__init__.py
@@ -12,13 +12,14 @@
 
 >>> import json, random
 >>> from umbermoor.gateway.barograph.member import Member
->>> from umbermoor.gateway.effects import Answer, Send, Write
+>>> from umbermoor.gateway.effects import Answer, Outcome, Send, Verdict, Write
 >>> names = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
 >>> disks = {name: {} for name in names}
->>> def newer(key, old, new):
-...     return old is None or new["revision"] > old["revision"]
+>>> def judge(held, key, new, epoch):
+...     newer = key not in held or new["revision"] > held[key]["revision"]
+...     return Verdict(Outcome.TAKEN, new) if newer else Verdict(Outcome.OLDER)
 >>> def start(name, cold):
-...     return Member(name, names, 1, cold, disks[name], newer, random.Random(name))
+...     return Member(name, names, 1, cold, disks[name], judge, random.Random(name))
 >>> members = {name: start(name, cold=True) for name in names}
 >>> def carry(now, name, effects):
 ...     for effect in effects:
@@ -30,7 +31,8 @@
 ...             disks[name].update(effect.puts)
 ...             carry(now, name, members[name].written(now, effect.token))
 ...         else:
-...             print(effect.code.name, effect.value)
+...             told = effect.value
+...             print(effect.code.name, told.outcome.value if isinstance(told, Verdict) else told)
 >>> def pass_time(start, ms):
 ...     for now in range(start, start + ms * 1000, 50_000):
 ...         for name in list(members):
@@ -38,7 +40,9 @@
 ...     return start + ms * 1000
 >>> now = pass_time(0, 1500)
 >>> carry(now, names[2], members[names[2]].put(now, 1, "config/a", {"revision": 1}))
-OK None
+OK taken
+>>> carry(now, names[1], members[names[1]].put(now, 3, "config/a", {"revision": 0}))
+OK older
 >>> carry(now, names[1], members[names[1]].read(now, 2))
 OK {'config/a': {'revision': 1}}
 >>> members[names[0]].story()["role"], members[names[2]].story()["role"]
--- a/umbermoor/gateway/barograph/asks.py
+++ b/umbermoor/gateway/barograph/asks.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from umbermoor.gateway.effects import Code
+from umbermoor.gateway.effects import Code, Outcome, Verdict
 
 WITHIN = 700_000  # a call that cannot be told by then is answered LATER
 AGAIN = 150_000
@@ -69,25 +69,26 @@
 
 @dataclass(slots=True)
 class Taken:
-    """The puts that a head took in its epoch, so that a doubled message is no second put.
+    """The puts that a head judged in its epoch, so that a doubled message is no second put and gets the same verdict.
 
     >>> taken = Taken()
-    >>> taken.note(7, 1, 12)
-    >>> taken.seq(7, 1), taken.seq(7, 2)
+    >>> taken.note(7, 1, 12, Verdict(Outcome.SAME))
+    >>> taken.find(7, 1)[0], taken.find(7, 2)
     (12, None)
     """
 
-    _lives: OrderedDict[int, tuple[dict[int, int], list[int]]] = field(default_factory=OrderedDict)
+    _lives: OrderedDict[int, tuple[dict[int, tuple[int, Verdict]], list[int]]] = field(default_factory=OrderedDict)
 
-    def seq(self, life: int, number: int) -> int | None:
-        """After which write it is done; None if it was not taken, -1 if that cannot be told any more."""
+    def find(self, life: int, number: int) -> tuple[int, Verdict] | None:
+        """After which write it is done, and its verdict without a value; None if it was not judged; -1 if that cannot
+        be told any more."""
         ids, floor = self._lives.get(life, ({}, [0]))
-        return ids.get(number, -1 if number <= floor[0] else None)
+        return ids.get(number, (-1, Verdict(Outcome.OLDER)) if number <= floor[0] else None)
 
-    def note(self, life: int, number: int, seq: int) -> None:
+    def note(self, life: int, number: int, seq: int, verdict: Verdict) -> None:
         ids, floor = self._lives.setdefault(life, ({}, [0]))
         self._lives.move_to_end(life)
-        ids[number] = seq
+        ids[number] = seq, verdict._replace(value=None)
         if len(ids) > EACH:
             oldest = min(ids)
             del ids[oldest]
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -13,6 +13,7 @@
 
 from umbermoor.gateway.barograph import words
 from umbermoor.gateway.barograph.asks import Asks, Taken
+from umbermoor.gateway.barograph.contact import GAP, Contact, Rounds
 from umbermoor.gateway.barograph.disk import Disk
 from umbermoor.gateway.barograph.peers import STEADY, Peer, Peers
 from umbermoor.gateway.barograph.view import (
@@ -26,7 +27,7 @@
     epoch_after,
     majority,
 )
-from umbermoor.gateway.effects import Answer, Code, Effect, Send
+from umbermoor.gateway.effects import Answer, Code, Effect, Outcome, Send, Verdict
 
 MS = 1000
 PING = 200 * MS
@@ -49,6 +50,9 @@
 READERS = 256
 BATCH = 16  # entries in a message
 
+Judge = Callable[[Mapping[str, Any], str, Any, int], Verdict]  # of the map at the head, a key, what is put, the epoch
+CODES = {Outcome.CLASH: Code.CLASH, Outcome.UNKNOWN: Code.UNKNOWN}  # of the others: OK
+
 
 class Entry(NamedTuple):
     key: str
@@ -67,8 +71,7 @@
 
     `me` and `seeds` are IP addresses, the seeds the same in the same order everywhere; the first of them founds.
     `bear`: disks that may be lost at once. `cold`: an empty disk is a new system's, not a lost one. `stored`: what
-    Store.load gave. `admit(key, old, new)` tells at the head whether a put changes anything; old is None where there is
-    nothing.
+    Store.load gave. `judge(map, key, value, epoch)` tells at the head what a put comes to.
     """
 
     def __init__(
@@ -78,18 +81,19 @@
         bear: int,
         cold: bool,
         stored: Mapping[str, bytes],
-        admit: Callable[[str, Any, Any], bool],
+        judge: Judge,
         chance: random.Random,
     ) -> None:
         self.me, self.bear = me, bear
         self.everyone: tuple[str, ...] = tuple(json.loads(stored.get("members", b"[]")))
         self.committed: dict[str, Any] = {}
         self.version: Version = (0, 0)
-        self._seeds, self._admit, self._chance = tuple(seeds), admit, chance
+        self._seeds, self._judge, self._chance = tuple(seeds), judge, chance
         self._life, self._beat, self._now, self._began = chance.getrandbits(48), 0, 0, -1
         self._out: list[Effect] = []
         self._local: deque[dict[str, Any]] = deque()
         self._disk, self._peers, self._asks = Disk(), Peers(me), Asks()
+        self._contact = Contact()
         self._fresh = cold and not self.everyone
         self._blank = not cold and not self.everyone
         self._pinged = -PING
@@ -127,10 +131,9 @@
         self._pending: deque[Entry] = deque()  # up to last
         self._sent, self._acked, self._sent_at, self._progress = 0, 0, 0, 0
         self._taken = Taken()
-        self._waiting: list[tuple[int, Entry]] = []  # puts that change nothing, until what was before is committed
-        self._readers: dict[tuple[str, int, int], tuple[int, Version]] = {}  # until when, what is held there
-        self._confirming: tuple[set[tuple[str, int, int]], set[str]] | None = None
-        self._nonce, self._confirmed_at = 0, 0
+        # puts that change nothing, until what was before is committed
+        self._waiting: list[tuple[int, tuple[str, int, int], Verdict]] = []
+        self._rounds = Rounds()  # those then, and reads, until a majority told that it promised no later epoch
 
     # what a host calls
 
@@ -174,8 +177,9 @@
         return self._effects()
 
     def put(self, now: int, ask: int, key: str, value: Any) -> list[Effect]:
-        """Have `value` stand under `key`, or nothing if it is None. Answered OK once it, or what is above it, is
-        committed; LATER if that cannot be told; WRONG if the key is too long, or the value is not JSON's."""
+        """Have the head judge `value` for `key`. Answered with a Verdict once what that stands upon is committed, and
+        proven to be in force: OK where it was taken, or changes nothing; CLASH, UNKNOWN; LATER if it cannot be told;
+        WRONG if the key is too long, or the value is not JSON's."""
         self._at(now)
         try:
             fit = words.key(key) and bool(write_json(value))
@@ -198,11 +202,13 @@
 
     @property
     def connected(self) -> bool:
-        """Whether it hears a majority, and a chain that serves is known: this member is in it, or hears of it."""
-        if self._blank or not self.everyone:
+        """Whether a majority proved, within a lease, that it is reached both ways and promised no epoch above the chain
+        that is known here to serve, and this member holds what that chain began with, or later."""
+        if self._blank or not self.everyone or self.version[0] != self._view.epoch:
             return False
-        heard = self._peers.heard(self._now, HEARD)
-        return len(heard) + 1 >= majority(self.everyone) and (self._serving() or self._hears_serving(HEARD))
+        proven = self._contact.proven(self._now, self._view.epoch, self._others())
+        me = 0 < self._promise <= self._view.epoch
+        return proven + me >= majority(self.everyone) and (self._serving() or self._hears_serving(HEARD))
 
     def story(self) -> dict[str, Any]:
         """For operators: epoch, chain, role, version, waiting."""
@@ -226,6 +232,9 @@
     def _at(self, now: int) -> None:
         if self._began < 0:
             self._began = self._now = now
+        if now - self._now > GAP:  # frozen, or starved: what was proven before is not proven now
+            self._contact.void()
+            self._rounds.void()
         self._now = max(self._now, now)
 
     def _effects(self) -> list[Effect]:
@@ -258,6 +267,7 @@
 
     def _ping(self) -> dict[str, Any]:
         self._beat += 1
+        self._contact.sent(self._now, self._beat)
         return {
             "life": self._life,
             "beat": self._beat,
@@ -282,7 +292,12 @@
         ping = self._ping()
         for who in self.everyone or dict.fromkeys([*self._seeds, *self._peers.heard(self._now)]):
             if who != self.me:
-                self._send(who, "ping", **ping)
+                self._send(who, "ping", **ping, **self._echo(who))
+
+    def _echo(self, who: str) -> dict[str, Any]:
+        """Which ping of that member's came last: it proves to it that it was heard."""
+        peer = self._peers.get(who)
+        return {"echo": [peer.ping["life"], peer.ping["beat"]]} if peer else {}
 
     def _on_ping(self, sender: str, ping: dict[str, Any]) -> None:
         if self.everyone and sender not in self.everyone:
@@ -294,9 +309,11 @@
         if self._peers.hear(self._now, sender, ping):
             self._grown_at = self._now
             self._shunned.pop(sender, None)
-            self._send(sender, "ping", **self._ping())
+            self._send(sender, "ping", **self._ping(), **self._echo(sender))
         if not self.everyone:
             return
+        if (peer := self._peers.get(sender)) and peer.ping is ping:
+            self._contact.heard(self._now, sender, ping, self._life)
         if ping["promise"] and not ping["blank"] and self._settled and self._is_founder() and not self._promise:
             self._forget()
         if ping["view"]:
@@ -628,7 +645,7 @@
         self._pending.clear()
         self._sent = self._acked = self._synced = 0
         self._taken, self._waiting = Taken(), []
-        self._readers, self._confirming = {}, None
+        self._rounds = Rounds(self._rounds.nonce)
         self._disk.want(puts, "join", partial(self._have_joined, sender, view.epoch))
 
     def _have_joined(self, sender: str, epoch: int) -> None:
@@ -665,25 +682,37 @@
         epoch, life, number = message["epoch"], message["life"], message["id"]
         if not epoch or epoch != self._joined or self._place() != 0:
             return
-        seq = self._taken.seq(life, number)
-        if seq is not None:
-            if 0 <= seq <= self._committed_here():
-                self._send(sender, "done", life=life, id=number)
+        key = sender, life, number
+        held = self._taken.find(life, number)
+        if held is not None:
+            seq, verdict = held
+            if verdict.outcome is not Outcome.TAKEN:
+                self._wait(seq, key, verdict)
+            elif 0 <= seq <= self._committed_here():
+                self._done(key, verdict)
             return
         if self._promise != epoch:
             self._send(sender, "refused", epoch=epoch, life=life, id=number)
             return
         if not self._serving() or len(self._pending) >= UNCOMMITTED or len(self._waiting) >= UNCOMMITTED:
             return
-        entry = Entry(message["key"], message["value"], sender, life, number)
-        if self._admit(entry.key, self._state.get(entry.key), entry.value):
-            self._take([entry])
-            self._taken.note(life, number, self._last)
-        else:
-            self._taken.note(life, number, self._last)
-            self._waiting.append((self._last, entry))
+        verdict = self._judge(self._state, message["key"], message["value"], epoch)
+        if verdict.outcome is Outcome.TAKEN:
+            self._take([Entry(message["key"], verdict.value, *key)])
+        self._taken.note(life, number, self._last, verdict)
+        if verdict.outcome is not Outcome.TAKEN:
+            self._wait(self._last, key, verdict)
+
+    def _wait(self, seq: int, key: tuple[str, int, int], verdict: Verdict) -> None:
+        """Tell what changes nothing once that write is committed, and a majority is asked."""
+        if 0 <= seq and len(self._rounds) < READERS and all(one[1] != key for one in self._waiting):
+            self._waiting.append((seq, key, verdict))
             self._tell_waiting()
 
+    def _done(self, key: tuple[str, int, int], verdict: Verdict) -> None:
+        origin, life, number = key
+        self._send(origin, "done", life=life, id=number, outcome=verdict.outcome.value, why=verdict.why)
+
     def _committed_here(self) -> int:
         """Up to where this view's writes are known committed; -1: it is not active yet."""
         return self.version[1] if 0 < self._joined == self.version[0] else -1
@@ -769,26 +798,30 @@
                 self.committed[entry.key] = entry.value
             done += 1
             if self._neighbour(+1) is None:
-                self._send(entry.origin, "done", life=entry.life, id=entry.id)
+                self._done((entry.origin, entry.life, entry.id), Verdict(Outcome.TAKEN))
         self.version = self._joined, done
         self._acked = max(self._acked, min(done, self._sent))
         self._tell_waiting()
         return True
 
     def _tell_waiting(self) -> None:
+        """Puts that change nothing: once what they stand upon is committed, a majority is asked."""
         done = self._committed_here()
-        for seq, entry in self._waiting:
+        for seq, key, verdict in self._waiting:
             if seq <= done:
-                self._send(entry.origin, "done", life=entry.life, id=entry.id)
-        self._waiting = [(seq, entry) for seq, entry in self._waiting if seq > done]
+                self._rounds.add(key, self._now + HEARD, verdict)
+        self._waiting = [one for one in self._waiting if one[0] > done]
+        self._ask_round()
 
     def _again(self) -> None:
         """Say again what was not answered."""
         if self._joined and self._acked < self._sent and self._now - self._sent_at >= APPEND_AGAIN:
             self._hand_on(self._acked + 1)
-        self._readers = {key: reader for key, reader in self._readers.items() if reader[0] > self._now}
-        if self._confirming and self._now - self._confirmed_at >= ASK_AGAIN:
+        self._rounds.expire(self._now)
+        if self._rounds.due(self._now - ASK_AGAIN):
             self._confirm()
+        elif len(self._rounds):
+            self._ask_round()
 
     # calls
 
@@ -808,7 +841,8 @@
 
     def _on_done(self, sender: str, message: dict[str, Any]) -> None:
         if message["life"] == self._life and (ask := self._asks.end(message["id"])):
-            self._out.append(Answer(ask.ask, Code.OK))
+            verdict = Verdict(Outcome(message.get("outcome", "taken")), None, message.get("why", ""))
+            self._out.append(Answer(ask.ask, CODES.get(verdict.outcome, Code.OK), verdict))
 
     def _on_refused(self, sender: str, message: dict[str, Any]) -> None:
         if message["life"] == self._life:
@@ -817,45 +851,42 @@
     def _on_read(self, sender: str, message: dict[str, Any]) -> None:
         if message["epoch"] != self._joined or not self._serving() or self._neighbour(+1) is not None:
             return
-        if len(self._readers) < READERS:
+        if len(self._rounds) < READERS:
             key = sender, message["life"], message["id"]
-            self._readers.setdefault(key, (self._now + HEARD, tuple(message["have"])))
-        if not self._confirming and self._readers:
-            self._nonce += 1
-            self._confirming = set(self._readers), {self.me}
+            self._rounds.add(key, self._now + HEARD, tuple(message["have"]))
+        self._ask_round()
+
+    def _ask_round(self) -> None:
+        """Begin to ask a majority, if something waits for that and none is being asked."""
+        if self._rounds.begin(self._chance.getrandbits(48)):
             self._confirm()
             self._conclude()
 
     def _confirm(self) -> None:
-        self._confirmed_at = self._now
+        self._rounds.asked_at = self._now
         for who in self._others():
-            self._send(who, "confirm", epoch=self._joined, nonce=self._nonce + self._life)
+            self._send(who, "confirm", epoch=self._joined, nonce=self._rounds.nonce)
 
     def _on_confirm(self, sender: str, message: dict[str, Any]) -> None:
         if self._counts() and self._promise <= message["epoch"]:
             self._send(sender, "confirmed", epoch=message["epoch"], nonce=message["nonce"])
 
     def _on_confirmed(self, sender: str, message: dict[str, Any]) -> None:
-        if not self._confirming or message["epoch"] != self._joined:
-            return
-        if message["nonce"] == self._nonce + self._life:
-            self._confirming[1].add(sender)
+        if message["epoch"] == self._joined and self._rounds.confirmed(sender, message["nonce"]):
             self._conclude()
 
     def _conclude(self) -> None:
-        """Answer the readers that came before a majority told that no later epoch was promised."""
-        if not self._confirming or not self._serving() or len(self._confirming[1]) < majority(self.everyone):
+        """Answer what came before a majority told that no later epoch was promised."""
+        if not self._serving():
             return
-        asked, self._confirming = self._confirming[0], None
-        for key in sorted(asked & set(self._readers)):
+        for key, item in self._rounds.end(majority(self.everyone) - 1):
+            if isinstance(item, Verdict):
+                self._done(key, item)
+                continue
             origin, life, number = key
-            _, have = self._readers.pop(key)
-            state = None if have == self.version else dict(self.committed)
+            state = None if item == self.version else dict(self.committed)
             self._send(origin, "map", life=life, id=number, version=list(self.version), state=state)
-        if self._readers:
-            self._nonce += 1
-            self._confirming = set(self._readers), {self.me}
-            self._confirm()
+        self._ask_round()
 
     def _on_map(self, sender: str, message: dict[str, Any]) -> None:
         if message["life"] != self._life:
--- a/umbermoor/gateway/barograph/words.py
+++ b/umbermoor/gateway/barograph/words.py
@@ -6,6 +6,8 @@
 
 from typing import Any, Callable, Mapping
 
+from umbermoor.gateway.effects import Outcome
+
 Check = Callable[[Any], bool]
 LARGEST = 2**62
 
@@ -62,7 +64,21 @@
     return type(value) is list and all(map(entry, value))
 
 
+def echo(value: Any) -> bool:
+    """[life, beat] of the last ping that came from the addressed"""
+    return type(value) is list and len(value) == 2 and all(map(number, value))
+
+
+def outcome(value: Any) -> bool:
+    return type(value) is str and value in OUTCOMES
+
+
+def line(value: Any) -> bool:
+    return type(value) is str and len(value) <= 400
+
+
 ASK = {"life": number, "id": number}
+OUTCOMES = frozenset(one.value for one in Outcome)
 SHAPES: Mapping[str, Mapping[str, Check]] = {
     "ping": {
         "life": number,  # drawn when the process started
@@ -100,6 +116,11 @@
     "fetch": {"have": version},
     "news": {"version": version, "state": values},
 }
+# Fields that members of an earlier revision do not send.
+MAYBE: Mapping[str, Mapping[str, Check]] = {
+    "ping": {"echo": echo},
+    "done": {"outcome": outcome, "why": line},
+}
 
 
 def shaped(message: Any) -> bool:
@@ -107,4 +128,9 @@
     if type(message) is not dict or type(message.get("kind")) is not str:
         return False
     shape = SHAPES.get(message["kind"])
-    return shape is not None and all(key in message and check(message[key]) for key, check in shape.items())
+    maybe = MAYBE.get(message["kind"], {})
+    return (
+        shape is not None
+        and all(key in message and check(message[key]) for key, check in shape.items())
+        and all(key not in message or check(message[key]) for key, check in maybe.items())
+    )
--- a/umbermoor/gateway/effects.py
+++ b/umbermoor/gateway/effects.py
@@ -14,6 +14,24 @@
     UNKNOWN = "unknown"  # there is no such thing
 
 
+class Outcome(Enum):
+    """What a conditional put came to, judged in the one place that orders puts, against what it stands upon."""
+
+    TAKEN = "taken"  # it stands, or stood until something newer took its place
+    SAME = "same"  # a repetition: it stood already
+    OLDER = "older"  # something newer stands: it changes nothing
+    CLASH = "clash"  # what it was decided upon does not stand, or its number is another's
+    UNKNOWN = "unknown"  # it names what there is not
+
+
+class Verdict(NamedTuple):
+    """An outcome, with what is to stand where that is TAKEN, and one line that says why."""
+
+    outcome: Outcome
+    value: Any = None
+    why: str = ""
+
+
 class Send(NamedTuple):
     """A message to another process, best effort: it may be lost, doubled or late."""
 
@@ -33,7 +51,7 @@
 
     ask: int
     code: Code
-    value: Any = None
+    value: Any = None  # of a read: the map; of a put: a Verdict
 
 
 Effect = Send | Write | Answer
--- /dev/null
+++ b/umbermoor/gateway/logbook/orders.py
@@ -0,0 +1,145 @@
+"""What operators' orders and the stages of roll-outs come to, judged at the head of the chain by what stands there.
+
+The one place where puts are decided (`judge`): no I/O, no clock, no copy of its own. A number (`revision`) has one
+content for good, as far back as digests are kept. Source: PROTOCOL.md, "The operator"; docs/control.md says why.
+"""
+
+import json
+from base64 import b64decode, b64encode
+from hashlib import blake2b
+from typing import Any, Generator, Mapping
+
+from umbermoor.gateway.anemometer.plan import ROLLOUT, Record, newer
+from umbermoor.gateway.anemometer.trial import judge_begin, judge_step
+from umbermoor.gateway.effects import Outcome, Verdict
+
+CONFIG = "config"  # the register's key of the configuration
+KNOWN = 128  # numbers that were in force before, whose contents are still told apart
+DIGEST = 8  # bytes
+NUMBER = 4  # bytes of a revision
+EACH = NUMBER + DIGEST
+CHUNK = 1_500  # routes digested between two yields: some 10 ms
+
+Value = dict[str, Any]  # revision, text as it was sent, digest (hexadecimal), past (see _past)
+
+
+def digest(body: Mapping[str, Any]) -> str:
+    """Of a decoded configuration; the same for the same JSON in another order, whatever its spaces and escapes."""
+    steps = digest_slowly(body)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+
+
+def digest_slowly(body: Mapping[str, Any]) -> Generator[None, None, str]:
+    """The same in steps of some 10 ms, yielding between them; returns what digest would.
+
+    >>> one = {"revision": "0000000C", "routes": {"a": {"tries": 2.0}, "b": {}}, "services": {}}
+    >>> other = {"services": {}, "routes": {"b": {}, "a": {"tries": 2}}, "revision": "0000000c"}
+    >>> digest(one) == digest(other), digest(one) == digest(other | {"routes": {}})
+    (True, False)
+    """
+    hashed, work = blake2b(digest_size=DIGEST), 0
+    for name in sorted(body):
+        part = body[name]
+        if name == "revision":
+            part = int(part, 16)
+        hashed.update(_plain(name) + b"\0")
+        if not isinstance(part, dict):
+            hashed.update(_plain(part) + b"\0")
+            continue
+        hashed.update(b"{")
+        for key in sorted(part):
+            hashed.update(_plain(key) + b"\0" + _plain(part[key]) + b"\0")
+            work += 1
+            if work >= CHUNK:
+                work = 0
+                yield
+        hashed.update(b"}")
+    return hashed.hexdigest()
+
+
+def _plain(part: Any) -> bytes:
+    return json.dumps(_level(part), sort_keys=True, separators=(",", ":")).encode()
+
+
+def _level(part: Any) -> Any:
+    """2.0 is 2: the same number in JSON."""
+    if type(part) is float and part.is_integer():
+        return int(part)
+    if type(part) is dict:
+        return {key: _level(one) for key, one in part.items()}
+    return [_level(one) for one in part] if type(part) is list else part
+
+
+def configuration(revision: int, text: str, digest: str) -> Value:
+    """What is put for a configuration that was found sound."""
+    return {"revision": revision, "text": text, "digest": digest}
+
+
+def judge(held: Mapping[str, Any], key: str, new: Any, epoch: int) -> Verdict:
+    """What a put of `new` under `key` comes to beside the map `held`, at a head of that epoch. Never raises: a value of
+    another shape than the key's is a CLASH."""
+    try:
+        if key == CONFIG:
+            return _judge_configuration(held.get(key), new)
+        if key.startswith(ROLLOUT):
+            return _judge_rollout(held, key, new, epoch)
+    except (KeyError, TypeError, ValueError, AttributeError, IndexError, RecursionError, OverflowError) as error:
+        return Verdict(Outcome.CLASH, None, f"garbled: {type(error).__name__}")
+    return Verdict(Outcome.CLASH, None, "no such key")
+
+
+def _judge_configuration(held: Value | None, new: Value) -> Verdict:
+    revision, text = new["revision"], new["text"]
+    if type(revision) is not int or not 0 <= revision < 1 << 8 * NUMBER or not isinstance(text, str):
+        raise ValueError
+    mine = _digest_of(new)
+    if held is None or revision > held["revision"]:
+        past = b"" if held is None else _past(held) + _packed(held["revision"], _digest_of(held))
+        return Verdict(Outcome.TAKEN, {"revision": revision, "text": text, "digest": mine,
+                                       "past": b64encode(past[-KNOWN * EACH:]).decode()})
+    known = _digest_of(held) if revision == held["revision"] else _known(_past(held), revision)
+    if known is None:
+        return Verdict(Outcome.OLDER, None, f"in force is {held['revision']:08x}")
+    if known == mine:
+        return Verdict(Outcome.SAME)
+    return Verdict(Outcome.CLASH, None, f"revision: {revision:08x} is that of another configuration")
+
+
+def _digest_of(value: Value) -> str:
+    """Values that the present revision's members stored have none."""
+    found = value.get("digest")
+    return found if isinstance(found, str) and len(found) == 2 * DIGEST else digest(json.loads(value["text"]))
+
+
+def _past(held: Value) -> bytes:
+    """The numbers in force before and their contents' digests, oldest first, EACH bytes each."""
+    return b64decode(held.get("past", ""))
+
+
+def _packed(revision: int, digest: str) -> bytes:
+    return revision.to_bytes(NUMBER, "big") + bytes.fromhex(digest)
+
+
+def _known(past: bytes, revision: int) -> str | None:
+    number = revision.to_bytes(NUMBER, "big")
+    return next((past[at + NUMBER:at + EACH].hex() for at in range(0, len(past), EACH)
+                 if past[at:at + NUMBER] == number), None)
+
+
+def _judge_rollout(held: Mapping[str, Any], key: str, new: Record, epoch: int) -> Verdict:
+    """An order has `begin`, a stage has `on`; what has neither came by a member of an earlier revision."""
+    last, service = held.get(key), key[len(ROLLOUT):]
+    if "begin" in new:
+        return judge_begin(last, new["begin"], lambda: _names(held.get(CONFIG), service))
+    if "on" in new:
+        return judge_step(last, new, epoch)
+    return Verdict(Outcome.TAKEN, new) if newer(new, last) else Verdict(Outcome.OLDER)
+
+
+def _names(configuration: Value | None, service: str) -> bool:
+    """Whether the configuration in force names that service; also where there is none yet."""
+    return configuration is None or service in json.loads(configuration["text"])["services"]
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -7,19 +7,22 @@
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from typing import Any, Generator
 
 from umbermoor.gateway.almanac.configuration import check_slowly, read
 from umbermoor.gateway.almanac.faults import Fault
 from umbermoor.gateway.almanac.papers import Papers
 from umbermoor.gateway.anemometer.core import Steps
-from umbermoor.gateway.anemometer.plan import ROLLOUT, newer
+from umbermoor.gateway.anemometer.plan import ROLLOUT
+from umbermoor.gateway.anemometer.trial import ask as asked_of
+from umbermoor.gateway.anemometer.trial import first_record, step
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.store import Store
-from umbermoor.gateway.effects import Answer, Code, Effect, Send, Write
+from umbermoor.gateway.effects import Answer, Code, Effect, Send, Verdict, Write
 from umbermoor.gateway.heliograph.reader import Reader as Pulls
 from umbermoor.gateway.heliograph.reader import Teller
 from umbermoor.gateway.logbook.calls import Call, Desk, Reply, call, reply, wrong
+from umbermoor.gateway.logbook.orders import CONFIG, configuration, digest_slowly, judge
 from umbermoor.gateway.mast.events import event, watch
 from umbermoor.gateway.mast.post import Line, Post, frame
 from umbermoor.gateway.screen.registry import (DRAINING, READY, SILENT, STANDINGS, Entry, Registry, beat_of,
@@ -32,15 +35,11 @@
 HEARD = 0.7  # s: for a majority to note what may not be lost
 LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
 STATUS = {Code.OK: 200, Code.LATER: 503, Code.CLASH: 409, Code.WRONG: 422, Code.UNKNOWN: 404}
-CONFIG, MACHINES = "config", "machines"
+MACHINES = "machines"
+KEY_MOST = 64  # characters of an order's key
 SAVE = SECOND  # us: the list of machines is written no more often
 
 
-def admit(key: str, old: Any, new: Any) -> bool:
-    """Whether a put changes anything: of configurations the highest version holds."""
-    return newer(new, old) if key != CONFIG else old is None or new["revision"] > old["revision"]
-
-
 class Core:
     def __init__(self, papers: Papers, chance: random.Random) -> None:
         self.papers, self.chance = papers, chance
@@ -49,7 +48,7 @@
         seeds = [seed.rpartition(":")[0] for seed in papers.seeds]
         stored = self.store.load()
         machines = json.loads(stored.pop(MACHINES, b"[]"))
-        self.member = Member(papers.ip, seeds, papers.bear_machines, papers.cold, stored, admit, chance)
+        self.member = Member(papers.ip, seeds, papers.bear_machines, papers.cold, stored, judge, chance)
         self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
         for entry in filter(None, map(entry_of, machines)):
             self.registry.take(self.now(), entry)
@@ -59,7 +58,7 @@
         self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
         self.asks: dict[int, asyncio.Future] = {}
         self.heards: dict[int, tuple[set[str], asyncio.Event]] = {}
-        self.number = 0
+        self.number = chance.getrandbits(40)  # an answer to an earlier life's question is none to this one's
         self.telling = False
         self.body: tuple[int, bytes] = (0, b"")  # the frame of a configuration
         self.over = asyncio.Event()
@@ -74,22 +73,39 @@
         body = read(ask.body)
         if isinstance(body, Fault):
             return wrong(400, str(body))
-        steps = check_slowly(body)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as end:
-                fault = end.value
-                break
-            await asyncio.sleep(0)
+        fault = await self.slowly(check_slowly(body))
         if fault is not None:
             event("refused", what="configuration", why=str(fault))
             return wrong(400, str(fault))
-        value = {"revision": int(body["revision"], 16), "text": ask.body.decode()}
+        value = configuration(int(body["revision"], 16), ask.body.decode(), await self.slowly(digest_slowly(body)))
         answer = await self.ask(lambda now, number: self.member.put(now, number, CONFIG, value))
         event("taken" if answer.code is Code.OK else "untaken", what="configuration", revision=body["revision"],
-              code=answer.code.value)
-        return Reply(200) if answer.code is Code.OK else LATER
+              code=answer.code.value, **self.outcome(answer))
+        return self.told(answer)
+
+    @staticmethod
+    async def slowly(steps: Generator[None, None, Any]) -> Any:
+        """The end of a work in steps, with room for others between them."""
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return end.value
+            await asyncio.sleep(0)
+
+    @staticmethod
+    def outcome(answer: Answer) -> dict[str, Any]:
+        """For the log."""
+        return {"outcome": answer.value.outcome.value} if isinstance(answer.value, Verdict) else {}
+
+    @staticmethod
+    def told(answer: Answer) -> Reply:
+        """What an order's caller is told."""
+        if answer.code is Code.OK:
+            return Reply(200)
+        if answer.code is Code.LATER:
+            return LATER
+        return wrong(STATUS[answer.code], answer.value.why if isinstance(answer.value, Verdict) else answer.code.value)
 
     @call("GET", "/Config.Read")
     async def config(self, ask: Call) -> Reply:
@@ -130,24 +146,23 @@
     async def begin(self, ask: Call) -> Reply:
         try:
             body = ask.json()
-            service, target, ramp = body["service"], body["target"], body["rampS"]
-        except (ValueError, RecursionError, TypeError, KeyError) as error:
+            service, target, ramp, key = body["service"], body["target"], body["rampS"], body.get("key", "")
+        except (ValueError, RecursionError, TypeError, KeyError, AttributeError) as error:
             return wrong(400, f"a roll-out names service, target and rampS: {error}")
         if not isinstance(service, str) or not 0 < len(service) <= 200 or not isinstance(target, str):
             return wrong(400, "service, target: not texts")
-        if not self.member.connected:
-            return LATER
-        present = [entry.revision for entry in self.registry.entries.values()
-                   if entry.service == service and entry.state in (READY, SILENT)]
-        if not present and CONFIG in self.member.committed and service not in json.loads(
-                self.member.committed[CONFIG]["text"])["services"]:
-            return wrong(404, f"service: unknown, {service}")
-        record = self.steps.begin(self.now(), service, target, ramp, present)
-        if isinstance(record, Code):
-            return reply(STATUS[record])
-        answer = await self.ask(lambda now, number: self.member.put(now, number, ROLLOUT + service, record))
-        event("begin", service=service, target=target, ramp_s=ramp, code=answer.code.value)
-        return reply(STATUS[answer.code])
+        if not isinstance(key, str) or len(key) > KEY_MOST:
+            return wrong(400, f"key: not a text of {KEY_MOST} characters at most")
+        if not target or isinstance(ramp, bool) or not isinstance(ramp, (int, float)) or not 0 < ramp < float("inf"):
+            return wrong(422, "target: empty, or rampS: not a number above 0")
+        present = sorted({entry.revision for entry in self.registry.entries.values()
+                          if entry.service == service and entry.state in (READY, SILENT)})
+        order = asked_of(target, ramp, present, key)
+        # A head of the earlier revision puts what is beside `begin`: what this member's own copy makes of the order.
+        value = first_record(self.member.committed.get(ROLLOUT + service), order) | {"begin": order}
+        answer = await self.ask(lambda now, number: self.member.put(now, number, ROLLOUT + service, value))
+        event("begin", service=service, target=target, ramp_s=ramp, code=answer.code.value, **self.outcome(answer))
+        return self.told(answer)
 
     @call("GET", "/Rollouts.Read/")
     async def rollout(self, ask: Call) -> Reply:
@@ -232,7 +247,7 @@
                 held[0].add(line.peer)
                 if self.enough(message["number"]):
                     held[1].set()
-        elif kind == "reports" and isinstance(message.get("reports"), list):
+        elif kind == "reports" and isinstance(message.get("reports"), list) and self.member.connected:
             for report in message["reports"]:
                 try:
                     self.steps.report(now, line.peer, report)
@@ -353,7 +368,8 @@
             if self.member.connected and self.head() == self.papers.ip:
                 for service, record in self.steps.tick(now):
                     self.number += 1
-                    self.carry(self.member.put(now, self.number, ROLLOUT + service, record))
+                    value = step(record, self.steps.orders[service].record, self.member.story()["epoch"])
+                    self.carry(self.member.put(now, self.number, ROLLOUT + service, value))
             self.registry.tick(now, self.member.connected)
             self.save(now)
             self.pulls.forget(now)
