--- /dev/null
+++ b/tests/gateway/control.py
@@ -0,0 +1,385 @@
+"""Operators that race, repeat and give up, at members of the register in virtual time; see world.py for the faults.
+
+Every call's history is checked (linear.py), and what roll-outs' records may follow one another. Programs broken on
+purpose are beside it, so that it is seen that the checks find them. Times are microseconds.
+"""
+
+import json
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any, Callable, Mapping
+
+from tests.gateway.linear import NEVER, Op, broken
+from tests.gateway.world import MS, TICK, Broken, Machine, World, _fault
+from umbermoor.gateway.anemometer.plan import ROLLOUT
+from umbermoor.gateway.anemometer.trial import ask, step
+from umbermoor.gateway.barograph.member import Judge, Member
+from umbermoor.gateway.effects import Answer, Code, Outcome, Verdict
+from umbermoor.gateway.logbook.orders import CONFIG, configuration, digest, judge
+
+SERVICE = ROLLOUT + "s"
+PATIENCE = 1000 * MS  # a caller asks another then
+HOST = 900 * MS  # a member's host answers LATER then
+
+
+def body(revision, content):
+    """A configuration; capital letters are the same in another order."""
+    routes = {"r": {"host": "h", "prefix": f"/{content.lower()}/", "tries": 2}, "other": {"tries": 1}}
+    whole = {"revision": f"{revision:08x}", "routes": routes, "services": {"s": {}}}
+    if content.isupper():
+        whole = {key: dict(reversed(part.items())) if key == "routes" else part
+                 for key, part in reversed(whole.items())}
+        whole["revision"] = whole["revision"].upper()
+        whole["routes"]["other"] = {"tries": 1.0}
+    return whole
+
+
+def value(revision, content):
+    whole = body(revision, content)
+    return configuration(revision, json.dumps(whole, indent=1 if content.isupper() else None), digest(whole))
+
+
+@dataclass
+class Asked:
+    """A call of an operator, or a read."""
+
+    began: int
+    put: tuple[int, str] | str | None  # number and content; a roll-out's target; None: a read
+    then: Callable[[Any], None] | None = None
+    ended: int | None = None
+    told: Any = "unknown"
+
+
+class Control(World):
+    """A world with operators, and processes that freeze: what comes to them waits, messages before ticks."""
+
+    def __init__(self, seed: int, members: int = 3, make: type[Member] = Member, judge: Judge = judge) -> None:
+        super().__init__(seed, members, judge=judge)
+        self.make = make
+        self.asked: dict[int, Asked] = {}
+        self.frozen: dict[str, list[Callable[[], None]]] = {}  # what waits for it
+        self.number = 0
+        self.targets = 0
+
+    # freezes
+
+    def freeze(self, name: str, span: int) -> None:
+        machine = self.machines[name]
+        if name in self.frozen or machine.member is None:
+            return
+        self.frozen[name], life = [], machine.life
+        self.after(span, lambda: self.thaw(name, life))
+
+    def thaw(self, name: str, life: int) -> None:
+        if name in self.frozen and self.machines[name].life == life:
+            for act in self.frozen.pop(name):
+                act()
+
+    def start(self, name: str, cold: bool | None = None) -> None:
+        self.frozen.pop(name, None)
+        super().start(name, cold)
+
+    def stop(self, name: str) -> None:
+        self.frozen.pop(name, None)
+        super().stop(name)
+
+    def _wait(self, name: str, life: int, act: Callable[[], None], last: bool = False) -> None:
+        """Have it done when that process runs, if it is the same one."""
+        machine = self.machines[name]
+        held = self.frozen.get(name)
+        if held is None:
+            act()
+        else:
+            held.insert(len(held) if last else 0, lambda: act() if machine.life == life and machine.member else None)
+
+    def _arrive(self, sender: str, to: str, text: str) -> None:
+        if to in self.frozen and (sender, to) not in self.cut:
+            come = super()._arrive
+            self.frozen[to].append(lambda: come(sender, to, text))
+        elif to not in self.frozen:
+            super()._arrive(sender, to, text)
+
+    def _tick(self, machine: Machine, life: int) -> None:
+        if machine.name in self.frozen and machine.life == life:
+            self.after(TICK, lambda: self._tick(machine, life))
+        else:
+            super()._tick(machine, life)
+
+    def _synced(self, machine: Machine, life: int, token: int) -> None:
+        if machine.name in self.frozen and machine.life == life:
+            self.frozen[machine.name].append(lambda: self._synced(machine, life, token))
+        else:
+            super()._synced(machine, life, token)
+
+    # calls
+
+    def ask_config(self, name: str, number: int, content: str, then: Callable[[Any], None] | None = None) -> Asked:
+        return self._ask(name, Asked(self.now, (number, content), then), (CONFIG, value(number, content)))
+
+    def ask_rollout(self, name: str, target: str, then: Callable[[Any], None] | None = None) -> Asked:
+        return self._ask(name, Asked(self.now, target, then), (SERVICE, {"begin": ask(target, 12, ["v1"])}))
+
+    def ask_read(self, name: str) -> Asked:
+        return self._ask(name, Asked(self.now, None), None)
+
+    def _ask(self, name: str, asked: Asked, put: tuple[str, Any] | None) -> Asked:
+        machine = self.machines[name]
+        if machine.member is None:  # a call that reaches nobody
+            asked.ended, asked.told = self.now, "unknown"
+            return asked
+        life = machine.life
+
+        def come() -> None:
+            if machine.member and machine.life == life:
+                number = len(self.calls) + 1
+                self.asked[number] = asked
+                self._call(name, put)
+
+        if name in self.frozen:
+            self.frozen[name].append(come)
+        else:
+            come()
+        return asked
+
+    def _answered(self, answer: Answer) -> None:
+        call, asked = self.calls[answer.ask], self.asked.get(answer.ask)
+        if asked is None:  # a stage: nobody waits for it
+            call.answered = answer.code
+            return
+        if call.answered is not None:
+            raise Broken(f"{call} was answered twice")
+        call.answered = answer.code
+        if answer.code is Code.LATER or self.now - call.began > HOST:
+            asked.ended = self.now
+        elif asked.put is None:
+            held = answer.value.get(CONFIG)
+            asked.ended, asked.told = self.now, held and (held["revision"], content_of(held))
+        else:
+            asked.ended, asked.told = self.now, answer.value.outcome.value
+        if asked.then:
+            asked.then(asked.told)
+
+    # operators
+
+    def operate(self, until: int) -> None:
+        """One operator: an order, sent until it is told clearly or given up, and then the next."""
+        chance = self.chance
+        if self.now >= until:
+            return
+        draw = chance.random()
+        if draw < 0.2:
+            self.targets += chance.random() < 0.5
+            order: Any = f"v{2 + self.targets}"
+        else:
+            if draw < 0.7:
+                self.number += chance.randrange(1, 3)
+            number = max(1, self.number - (chance.randrange(4) if chance.random() < 0.3 else 0))
+            order = number, chance.choice("abA")
+        self._attempt(order, until, 0)
+
+    def _attempt(self, order: Any, until: int, tries: int) -> None:
+        chance, open_ = self.chance, [True]
+
+        def then(told: Any) -> None:
+            if not open_:
+                return
+            open_.clear()
+            lost = told != "unknown" and chance.random() < 0.2  # the answer: it is sent again
+            if (told == "unknown" or lost) and tries < 8 and chance.random() < 0.9:
+                self.after(chance.randrange(400 * MS), lambda: self._attempt(order, until, tries + 1))
+            else:
+                self.after(chance.randrange(600 * MS), lambda: self.operate(until))
+
+        name = chance.choice(self.names)
+        if isinstance(order, str):
+            self.ask_rollout(name, order, then)
+        else:
+            self.ask_config(name, *order, then)
+        self.after(PATIENCE, lambda: then("unknown"))
+
+    def look(self, until: int) -> None:
+        """Reads, and stages of whoever thinks that it leads, some of them put late."""
+        chance = self.chance
+        if self.now >= until:
+            return
+        name = chance.choice(self.names)
+        self.ask_read(name)
+        for one, machine in self.machines.items():
+            member = machine.member
+            if member is None or one in self.frozen or not member.connected_at(self.now):
+                continue
+            story, record = member.story(), member.committed.get(SERVICE)
+            if story["chain"][:1] == [one] and record and record["state"] == "running":
+                new = record | {"serial": record["serial"] + 1}
+                if chance.random() < 0.3:
+                    new["state"] = chance.choice(("settled", "reverted"))
+                elif chance.random() < 0.5:
+                    new["stage"] = min(3, record["stage"] + 1)
+                put, life = step(new, record, story["epoch"]), machine.life
+                self.after(chance.choice((0, 0, 0, 3000)) * chance.randrange(MS), lambda machine=machine, life=life,
+                           put=put: self._put_step(machine, life, put))
+        self.after(chance.randrange(400 * MS), lambda: self.look(until))
+
+    def _put_step(self, machine: Machine, life: int, value: Any) -> None:
+        if machine.member and machine.life == life and machine.name not in self.frozen:
+            self._call(machine.name, (SERVICE, value))
+
+    # what must hold
+
+    def history(self) -> list[Op]:
+        found = []
+        for one in self.asked.values():
+            if not isinstance(one.put, str) and (one.put is not None or one.told != "unknown"):
+                number, content = one.put or (None, "")
+                ended = NEVER if one.told == "unknown" else one.ended
+                found.append(Op(one.began, ended, number, content.lower(), one.told))
+        return found
+
+    def judge_history(self) -> None:
+        """Raises Broken where calls, or records of roll-outs, contradict each other."""
+        shown = broken(self.history())
+        if shown is not None:
+            raise Broken("no order of calls fits: " + "; ".join(map(str, shown)))
+        orders = sorted((one for one in self.asked.values() if isinstance(one.put, str) and one.told != "unknown"),
+                        key=lambda one: one.ended)
+        for n, one in enumerate(orders):
+            if one.told in ("taken", "same"):
+                for later in orders[n + 1:]:
+                    if later.put == one.put and later.began > one.ended and later.told not in ("same", "taken"):
+                        raise Broken(f"{later} was refused after {one}")
+                    if later.put == one.put and later.told == "taken" and later.began > one.ended:
+                        raise Broken(f"{later} was taken twice, {one}")
+        before: dict[str, Any] | None = None
+        last: dict[str, Any] = {}
+        for version in sorted(self.model.maps):
+            record = json.loads(self.model.maps[version]).get(SERVICE)
+            if record is None or record == before:
+                continue
+            if before is not None:
+                self._follows(before, record)
+            before, last = record, record
+        acknowledged = {one.put for one in orders if one.told in ("taken", "same")}
+        known = {target for target, _ in last.get("known", [])}
+        if len(known) < 30 and not acknowledged <= known:
+            raise Broken(f"acknowledged and lost: {acknowledged - known}")
+
+    @staticmethod
+    def _follows(before: dict[str, Any], record: dict[str, Any]) -> None:
+        """Maps of versions may be unseen between two that were seen; what was decided may not be undone."""
+        if record["order"] == before["order"]:
+            right = record["target"] == before["target"] and before["state"] == "running" and (
+                record["serial"] > before["serial"] and record["stage"] >= before["stage"])
+        else:
+            right = record["order"] > before["order"]
+        if not right:
+            raise Broken(f"{record} after {before}")
+
+
+def counts(world: Control) -> Counter[str]:
+    """How many calls of each kind came to what."""
+    kinds = (("order" if isinstance(one.put, str) else "put" if one.put else "read",
+              one.told if isinstance(one.told, str) else "told") for one in world.asked.values())
+    return Counter(" ".join(one) for one in kinds)
+
+
+def content_of(held: dict[str, Any]) -> str:
+    return json.loads(held["text"])["routes"]["r"]["prefix"][1]
+
+
+def storm(seed: int, members: int = 3, make: type[Member] = Member, judge: Judge = judge, steps: int = 24,
+          operators: int = 4) -> Control:
+    """Operators among faults, freezes and cuts of up to 20 s; raises Broken."""
+    world = Control(seed, members, make, judge)
+    chance = world.chance
+    world.start_all()
+    if not world.run(30_000 * MS, world.whole):
+        raise Broken("not founded")
+    world.cold = False
+    until = [10**15]
+    for _ in range(operators):
+        world.operate(until[0])
+    world.look(until[0])
+    for _ in range(steps):
+        draw, name = chance.random(), chance.choice(world.names)
+        if draw < 0.12:
+            world.freeze(name, chance.choice((300, 1500, 5000, 20_000)) * MS)
+        elif draw < 0.3:
+            cut(world, name, chance.choice(("to", "from", "both")))
+            if chance.random() < 0.3:
+                world.run(chance.choice((1000, 20_000)) * MS)
+        elif draw < 0.45:
+            world.cut.clear()
+        else:
+            _fault(world, chance, 1.0)
+        world.run(chance.choice((10, 100, 400, 1500)) * chance.randrange(MS))
+    for name in list(world.frozen):
+        world.thaw(name, world.machines[name].life)
+    world.settle()
+    if not world.run(15_000 * MS, world.whole):
+        raise Broken(f"not whole: {[m.member and m.member.story() for m in world.machines.values()]}")
+    world.run(1500 * MS)
+    for name in world.names:
+        world.ask_read(name)
+    world.run(1500 * MS)
+    world.judge_history()
+    return world
+
+
+def cut(world: World, name: str, way: str) -> None:
+    """Part one member from all others: what goes to it, what comes from it, or both."""
+    for other in world.names:
+        if other != name:
+            world.cut |= {(other, name)} if way == "to" else {(name, other)} if way == "from" else {
+                (other, name), (name, other)}
+
+
+# programs broken on purpose
+
+
+def unconditional(held: Mapping[str, Any], key: str, new: Any, epoch: int) -> Verdict:
+    """Revisions are compared and nothing else; stages are put whatever stands."""
+    if key != CONFIG:
+        value = {one: part for one, part in new.items() if one not in ("on", "epoch")}
+        return judge(held, key, new, epoch) if "begin" in new else Verdict(Outcome.TAKEN, value)
+    taken = key not in held or new["revision"] > held[key]["revision"]
+    return Verdict(Outcome.TAKEN, new) if taken else Verdict(Outcome.SAME)
+
+
+def forgetful(held: Mapping[str, Any], key: str, new: Any, epoch: int) -> Verdict:
+    """Past numbers are not known again."""
+    told = judge(held, key, new, epoch)
+    return told._replace(value=told.value | {"past": ""}) if key == CONFIG and told.value else told
+
+
+def unfenced(held: Mapping[str, Any], key: str, new: Any, epoch: int) -> Verdict:
+    """A stage is put whatever stands, and under whatever epoch it was decided."""
+    if key != CONFIG and "on" in new:
+        return Verdict(Outcome.TAKEN, {one: part for one, part in new.items() if one not in ("on", "epoch")})
+    return judge(held, key, new, epoch)
+
+
+class Alone(Member):
+    """Reads are answered without asking a majority."""
+
+    def _conclude(self) -> None:
+        for who in self._others():
+            self._rounds.confirmed(who, self._rounds.nonce)
+        super()._conclude()
+
+
+class Hasty(Member):
+    """A head acknowledges what is on its own disk."""
+
+    def _have_taken(self, epoch: int, seq: int) -> None:
+        if epoch == self._joined and self._place() == 0:
+            for entry in self._pending:
+                self._done((entry.origin, entry.life, entry.id), Verdict(Outcome.TAKEN))
+        super()._have_taken(epoch, seq)
+
+
+class Twice(Member):
+    """A head that judges a doubled message anew."""
+
+    def _on_put(self, sender: str, message: dict[str, Any]) -> None:
+        self._taken = type(self._taken)()
+        super()._on_put(sender, message)
--- a/tests/gateway/features/control.feature
+++ b/tests/gateway/features/control.feature
@@ -44,3 +44,41 @@
   Scenario: What the earlier revision stored is read
     Given the control's members hold a store of the earlier revision
     Then each control's member tells same, clash and taken as if it had been put under this one
+
+  Scenario Outline: Histories are judged: <history>
+    Then the judge of histories finds <history> <verdict>
+
+    Examples: from-to put or read, told; letters are contents, "-" nothing, "?" no answer
+      | history                                         | verdict |
+      | 0-1 5a taken, 2-3 read 5a                       | sound   |
+      | 0-1 5a taken, 2-3 read -                        | broken  |
+      | 0-1 5a taken, 0-1 5b taken                      | broken  |
+      | 0-1 5a taken, 0-1 5b clash                      | sound   |
+      | 0-1 5a ?, 2-3 read -, 4-5 read 5a               | sound   |
+      | 0-1 5a ?, 2-3 read 5a, 4-5 read -               | broken  |
+      | 0-1 5a ?, 2-3 4b older                          | sound   |
+      | 0-1 4b older                                    | broken  |
+      | 0-1 5a taken, 2-3 6a taken, 4-5 5a clash        | broken  |
+      | 0-1 5a taken, 2-3 6a taken, 4-5 5b older        | broken  |
+      | 0-9 5a taken, 1-2 read 5a, 3-4 5b clash         | sound   |
+      | 0-9 5a taken, 1-2 read 5a, 3-4 read -           | broken  |
+
+  Scenario Outline: Operators race, repeat and give up in storms among <members> members
+    Then the control of <members> members keeps what it told in storms <first> to <last>
+
+    Examples:
+      | members | first | last |
+      | 3       | 0     | 39   |
+      | 5       | 100   | 115  |
+
+  Scenario Outline: A control that is broken on purpose is found: <broken>
+    Then storms of a control that is "<broken>" break within <count> seeds
+
+    Examples:
+      | broken        | count |
+      | unconditional | 3     |
+      | forgetful     | 3     |
+      | unfenced      | 5     |
+      | Alone         | 60    |
+      | Hasty         | 10    |
+      | Twice         | 60    |
--- a/tests/gateway/features/heliograph.feature
+++ b/tests/gateway/features/heliograph.feature
@@ -24,3 +24,6 @@
 
   Scenario: a reader of news forgets machines that are long gone
     Then a reader of news holds no machine that has not been ready for a minute, and those that came back
+
+  Scenario: a reader of news that stood still believes nothing that may have lain there
+    Then a reader of news that stood still counts answers to pulls from before as not firm, and takes their facts
--- a/tests/gateway/features/screen.feature
+++ b/tests/gateway/features/screen.feature
@@ -15,3 +15,6 @@
 
   Scenario: the screen holds a bounded number of machines
     Then the screen told of 20001 machines holds 20000 and still takes news of those
+
+  Scenario: the screen of a member that was out of touch tells nothing old
+    Then the screen of a member back after 31 s tells no machine that it did not hear of meanwhile, and those that leave
--- a/tests/gateway/features/steps/control_steps.py
+++ b/tests/gateway/features/steps/control_steps.py
@@ -2,31 +2,18 @@
 
 import json
 import random
+from collections import Counter
 
 from behave import given, then
 
-from tests.gateway.world import MS, World
+from tests.gateway import control
+from tests.gateway.control import body, counts, storm, value
+from tests.gateway.linear import NEVER, Op, broken
+from tests.gateway.world import MS, Broken, World
 from umbermoor.gateway.anemometer.plan import ROLLOUT
 from umbermoor.gateway.anemometer.trial import ask, first_record, step
 from umbermoor.gateway.effects import Code, Outcome
-from umbermoor.gateway.logbook.orders import CONFIG, KNOWN, configuration, digest, judge
-
-
-def body(revision, content):
-    """A configuration; capital letters are the same in another order."""
-    routes = {"r": {"host": "h", "prefix": f"/{content.lower()}/", "tries": 2}, "other": {"tries": 1}}
-    whole = {"revision": f"{revision:08x}", "routes": routes, "services": {"s": {}}}
-    if content.isupper():
-        whole = {key: dict(reversed(part.items())) if key == "routes" else part
-                 for key, part in reversed(whole.items())}
-        whole["revision"] = whole["revision"].upper()
-        whole["routes"]["other"] = {"tries": 1.0}
-    return whole
-
-
-def value(revision, content):
-    whole = body(revision, content)
-    return configuration(revision, json.dumps(whole, indent=1 if content.isupper() else None), digest(whole))
+from umbermoor.gateway.logbook.orders import CONFIG, KNOWN, judge
 
 
 def put(held, key, new, epoch=5):
@@ -145,3 +132,36 @@
     assert told(world.names[1], CONFIG, value(6, "b")) is Code.OK
     assert told(world.names[2], CONFIG, value(5, "b")) is Code.CLASH and told(
         world.names[2], CONFIG, value(5, "a")) is Code.OK
+
+
+@then("the judge of histories finds {history} {verdict:w}")
+def _(context, history, verdict):
+    ops = []
+    for one in history.split(", "):
+        span, what, told = one.split()
+        began, ended = span.split("-")
+        if what == "read":
+            ops.append(Op(int(began), int(ended), None, "", None if told == "-" else (int(told[0]), told[1])))
+        else:
+            unknown = told == "?"
+            ops.append(Op(int(began), NEVER if unknown else int(ended), int(what[0]), what[1],
+                          "unknown" if unknown else told))
+    assert (broken(ops) is None) == (verdict == "sound"), broken(ops)
+
+
+@then("the control of {members:d} members keeps what it told in storms {first:d} to {last:d}")
+def _(context, members, first, last):
+    told = sum((counts(storm(seed, members)) for seed in range(first, last + 1)), Counter())
+    assert all(told[one] > 20 for one in ("put taken", "put same", "put clash", "put older", "read told", "order taken",
+                                          "order same", "order clash")), told
+
+
+@then('storms of a control that is "{how}" break within {count:d} seeds')
+def _(context, how, count):
+    odd = getattr(control, how)
+    for seed in range(count):
+        try:
+            storm(seed, 3, **({"make": odd} if isinstance(odd, type) else {"judge": odd}))
+        except Broken:
+            return
+    raise AssertionError(f"{how} was not found in {count} seeds")
--- a/tests/gateway/features/steps/heliograph_steps.py
+++ b/tests/gateway/features/steps/heliograph_steps.py
@@ -253,3 +253,22 @@
     assert pulls.forget(2 * second + FORGET) == [] and len(pulls.machines) == 3
     assert pulls.forget(2 * second + FORGET + 1) == ["leaves"]
     assert sorted(pulls.machines) == ["sleeps", "stays"] and pulls.forget(1000 * second) == []
+
+
+@then("a reader of news that stood still counts answers to pulls from before as not firm, and takes their facts")
+def _(context):
+    reader = Reader(NAMES)
+    for name in NAMES:
+        reader.pull(0, name)
+    assert reader.news(100 * MS, "a", news(reader, 0, "a")).firm
+    reader.stood_still()
+    later, entry = 20_000 * MS, Entry("m", "s", "10.0.0.1:80", "z", "v1", 4, READY, 0, 1).told()
+    for name in "bc":
+        heard = reader.news(later, name, news(reader, later, name, machines=[entry], register=[5, 1], keys={"k": 1},
+                                              head="old"))
+        assert not heard.firm and not reader.firm_since(later) and reader.head != "old"
+    assert reader.machines["m"].state == READY and reader.register == {"k": 1}  # committed once, it holds
+    for name in NAMES:
+        reader.pull(later, name)
+        assert reader.news(later + MS, name, news(reader, later, name, register=[5, 1])).firm
+    assert reader.firm_since(later)
--- a/tests/gateway/features/steps/screen_steps.py
+++ b/tests/gateway/features/steps/screen_steps.py
@@ -160,3 +160,17 @@
     assert sum(registry.take(0, entry) for entry in entries) == most == MOST == len(registry.entries)
     assert registry.take(1, replace(entries[0], sample=2)) and registry.gone(2, "m1").state == GONE
     assert not registry.take(3, replace(entries[-1], sample=2))
+
+
+@then("the screen of a member back after {seconds:d} s tells no machine that it did not hear of meanwhile, and those "
+      "that leave")
+def _(context, seconds):
+    registry, second = Registry(1, PERIOD), 1_000_000
+    registry.tick(0, True)
+    for id, state in ("a", READY), ("b", READY), ("c", DRAINING), ("d", GONE), ("e", SILENT):
+        registry.take(0, Entry(id, "s", "10.0.0.1:80", "z", "v1", 1, state, 0, 1))
+    for now in range(0, seconds * second, second // 2):
+        registry.tick(now, False)
+    registry.take((seconds - 1) * second, Entry("b", "s", "10.0.0.1:80", "z", "v1", 1, READY, 0, 9))  # it beat here
+    registry.tick(seconds * second, True)
+    assert [one[0] for one in registry.after(-1)] == ["c", "d", "b"]
--- a/umbermoor/gateway/anemometer/front.py
+++ b/umbermoor/gateway/anemometer/front.py
@@ -92,9 +92,11 @@
         """The configuration no longer names this service."""
         self.services.pop(service, None)
 
-    def order(self, now: int, service: str, record: Record | None) -> None:
-        """The durable record as news brings it, or that there is none. Older ones are ignored."""
-        self.heard(now)
+    def order(self, now: int, service: str, record: Record | None, firm: bool = True) -> None:
+        """The durable record as news brings it, or that there is none. Older ones are ignored. `firm`: the news
+        is up to date as of now."""
+        if firm:
+            self.heard(now)
         one = self._of(service)
         one.told = True
         if record is None or not newer(record, one.record):
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -210,6 +210,11 @@
         me = 0 < self._promise <= self._view.epoch
         return proven + me >= majority(self.everyone) and (self._serving() or self._hears_serving(HEARD))
 
+    def connected_at(self, now: int) -> bool:
+        """The same as of now: what the clock shows may be the first word of a freeze."""
+        self._at(now)
+        return self.connected
+
     def story(self) -> dict[str, Any]:
         """For operators: epoch, chain, role, version, waiting."""
         if self._blank or self._fresh:
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -18,18 +18,20 @@
     machines: list[Entry]
     register: dict[str, Any]  # keys that changed, with their values
     want: bool  # the configuration's body is to be asked for
+    firm: bool  # it is as new as a member in force could tell after it was asked
 
 
 class Source:
     """One member of the core, as a reader sees it."""
 
-    __slots__ = "asked", "firm", "life", "number", "next"
+    __slots__ = "asked", "firm", "life", "number", "next", "old"
 
     def __init__(self) -> None:
         self.asked: int | None = None
         self.firm = -(1 << 60)
         self.life = self.number = 0
         self.next = 0
+        self.old = False  # the next answer may be from before this process stood still
 
 
 class Reader:
@@ -87,9 +89,11 @@
             return None
         source.asked, source.life, source.number = None, life, number
         source.next = now + GAP
-        if firm is True:
+        firm = firm is True and not source.old
+        source.old = False
+        if firm:
             source.firm = now
-        if members and firm is True:
+        if members and firm:
             self.members(members)
         changed = merged(filter(None, map(entry_of, entries if isinstance(entries, list) else [])), self.machines)
         for entry in changed:
@@ -98,14 +102,19 @@
             else:
                 self._away.setdefault(entry.id, now)
         register = {}
-        if firm is True and version >= self.version:
+        if firm and version >= self.version:
             self.head = head
         if version > self.version:
             self.version = version
             register = {key: value for key, value in keys.items() if self.register.get(key) != value}
             self.register.update(register)
         self.offered = max(self.offered, offered)
-        return Heard(changed, register, self.offered > self.revision and now >= self._want_at)
+        return Heard(changed, register, self.offered > self.revision and now >= self._want_at, firm)
+
+    def stood_still(self) -> None:
+        """This process was frozen, or starved: an answer that it finds now may have lain there, and proves nothing."""
+        for source in self.sources.values():
+            source.old = source.old or source.asked is not None
 
     def meet(self, name: str) -> None:
         """A seed that was named later; it counts only until members say who they are."""
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -29,6 +29,7 @@
                                                 entry_of)
 
 SECOND = 1_000_000
+CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)  # runs on while the machine is suspended, where it can
 TICK = 0.05  # s
 FRONTS = 6  # other fronts named in an answer: enough to meet the rest by
 BATCH = 0.01  # s: changes that come together are told together
@@ -64,7 +65,11 @@
         self.over = asyncio.Event()
 
     def now(self) -> int:
-        return round(time.monotonic() * SECOND)
+        return round(time.clock_gettime(CLOCK) * SECOND)
+
+    def connected(self) -> bool:
+        """Whether a majority proved contact within the lease."""
+        return self.member.connected_at(self.now())
 
     # Calls
 
@@ -126,7 +131,7 @@
         entry = beat_of(ask.name, body)
         if isinstance(entry, str):
             return wrong(400, entry)
-        if not self.member.connected:
+        if not self.connected():
             return LATER
         known = self.registry.entries.get(entry.id)
         if self.registry.take(self.now(), entry):
@@ -140,7 +145,7 @@
     async def gone(self, ask: Call) -> Reply:
         entry = self.registry.gone(self.now(), ask.name)
         self.tell_soon()
-        return Reply(200) if self.member.connected and await self.note(entry) else LATER
+        return Reply(200) if self.connected() and await self.note(entry) else LATER
 
     @call("POST", "/Rollouts.Begin")
     async def begin(self, ask: Call) -> Reply:
@@ -247,7 +252,7 @@
                 held[0].add(line.peer)
                 if self.enough(message["number"]):
                     held[1].set()
-        elif kind == "reports" and isinstance(message.get("reports"), list) and self.member.connected:
+        elif kind == "reports" and isinstance(message.get("reports"), list) and self.connected():
             for report in message["reports"]:
                 try:
                     self.steps.report(now, line.peer, report)
@@ -326,7 +331,7 @@
             line.send(frame({
                 "kind": "news", "life": registry.life, "number": registry.number, "machines": registry.after(known),
                 "register": list(member.version), "keys": keys if pull["register"] != list(member.version) else {},
-                "everyone": list(member.everyone), "head": self.head(), "firm": member.connected, "revision": revision,
+                "everyone": list(member.everyone), "head": self.head(), "firm": self.connected(), "revision": revision,
                 "fronts": fronts}))
             if pull.get("want") and revision > pull["revision"]:
                 if self.body[0] != revision:
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -30,6 +30,7 @@
 
 SECOND = 1_000_000
 TICK = 0.05  # s
+STILL = SECOND // 2  # us: a longer time between two ticks: frozen, or starved
 OVERTIME = 0.1  # s: an answer at the last moment may still be on its way
 WAY = 10_000  # us: taken off what a client says it waits, for the way there and back
 FIRST = 3 * SECOND  # us: ready without any machine known, where none came within this
@@ -65,6 +66,7 @@
         self.going: dict[int, Going] = {}  # by id of its slot
         self.budgets: dict[str, Budget] = {}
         self.leaving, self.ready, self.started = False, False, self.now()
+        self.ticked = self.started
         self.keep_s, self.idle_s, self.head_s, self.body_most = 10, 15.0, 3.0, BODY_MOST
         self.ended = asyncio.Event()
         self.counts: dict[str, int] = {}
@@ -222,23 +224,24 @@
     def receive(self, line: Line, message: dict[str, Any]) -> None:
         kind, now = message.get("kind"), self.now()
         if kind == "news":
+            self.look(now)
             heard = self.pulls.news(now, line.peer, message)
             if heard is None:
                 return
             for plant in self.plants.take(now, heard.machines):
                 self.pool.drop(plant)
-            if message.get("firm") is True:
+            if heard.firm:
                 self.trials.heard(now)
             for key, record in heard.register.items():
                 if key.startswith(ROLLOUT):
                     service = key[len(ROLLOUT):]
-                    self.trials.order(now, service, record)
+                    self.trials.order(now, service, record, heard.firm)
                     stage = record["state"], record["target"], record["stage"]
                     if self.stages.get(key) != stage:
                         self.stages[key] = stage
                         event("rollout", service=service, state=stage[0], target=stage[1], stage=stage[2])
             for service in self.plants.changed:
-                if message.get("firm") is True and ROLLOUT + service not in self.pulls.register:
+                if heard.firm and ROLLOUT + service not in self.pulls.register:
                     self.trials.order(now, service, None)
                 self.trials.listed(now, service, [(one.id, one.entry.revision, one.listed)
                                                   for one in self.plants.listed(service)])
@@ -273,6 +276,12 @@
 
     # Clocks
 
+    def look(self, now: int) -> None:
+        """Finds out that time has passed in which this process did not run: messages may come before the next tick."""
+        if now - self.ticked > STILL:
+            self.pulls.stood_still()
+        self.ticked = now
+
     async def serve(self) -> None:
         loop = asyncio.get_running_loop()
         watch(loop)
@@ -302,6 +311,7 @@
         told = 0.0
         while True:
             now = self.now()
+            self.look(now)
             for name in self.pulls.due(now):
                 self.post.send(name, self.pulls.pull(now, name))
             if self.pulls.head and (reports := self.trials.tick(now)):
--- a/umbermoor/gateway/screen/registry.py
+++ b/umbermoor/gateway/screen/registry.py
@@ -10,6 +10,7 @@
 STANDINGS = "ready", "silent", "draining", "gone"  # their names, for operators
 STATES = {"ready": READY, "draining": DRAINING}
 SILENCE = 3.4  # beats missed in a row after which a machine counts as silent
+OLD = 30_000_000  # a member that was out of touch tells nothing of what it has not heard of for so long (us)
 KEPT = 40_000_000  # how long what is gone is remembered (us): longer than any news is under way
 MOST = 20_000  # entries held at most
 
@@ -128,6 +129,9 @@
             return
         if self._connected_since is None:
             self._connected_since = now
+            for id, heard in list(self._heard.items()):  # others may have forgotten by now that it is gone
+                if now - heard > OLD and self.entries[id].state < DRAINING:
+                    del self.entries[id], self._numbers[id], self._heard[id]
         limit = round(SILENCE * self.period)
         for id, heard in list(self._heard.items()):
             entry, quiet = self.entries[id], now - max(heard, self._connected_since)
