--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -49,7 +49,10 @@
         seeds = [seed.rpartition(":")[0] for seed in papers.seeds]
         stored = self.store.load()
         machines = json.loads(stored.pop(MACHINES, b"[]"))
-        self.member = Member(papers.ip, seeds, papers.bear_machines, papers.cold, stored, admit, chance)
+        if self.store.lost:  # a disk that can't be believed is one that was lost, and no new system's
+            event("disk_lost", why=self.store.lost)
+        cold = papers.cold and not self.store.lost
+        self.member = Member(papers.ip, seeds, papers.bear_machines, cold, stored, admit, chance)
         self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
         for entry in filter(None, map(entry_of, machines)):
             self.registry.take(self.now(), entry)
@@ -273,7 +276,11 @@
         if done:
             self.carry(self.member.written(self.now(), token))
         else:
-            event("unwritten", token=token)
+            event("unwritten", token=token, why="full" if self.store.full else "refused")
+            if self.store.lost and not self.store.open:
+                event("disk_lost", why=self.store.lost)
+                self.over.set()  # it is started again, and finds that its disk counts as lost
+                return
             self.carry(self.member.unwritten(self.now(), token))
 
     def head(self) -> str:
