--- /dev/null
+++ b/tests/gateway/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control world: whole core hosts, fronts, machines and operators in virtual time. See docs/control-world.md."""
