--- /dev/null
+++ b/benchmarks/capacity/taker.py
@@ -0,0 +1,43 @@
+"""A trial: beats taken by the front's own parser instead of the HTTP server that members use. Started by `hollow`.
+
+Usage: python -m benchmarks.capacity.taker IP PORT
+"""
+
+import asyncio
+import json
+import sys
+import time
+
+from benchmarks.capacity.measures import PERIOD
+from umbermoor.gateway.mast.clients import answer_bytes
+from umbermoor.gateway.screen.registry import Registry, beat_of
+from umbermoor.http1.buffers import Buffers
+from umbermoor.http1.reader import Reader, Request
+
+REGISTRY, BUFFERS = Registry(1, PERIOD), Buffers(64 << 20)
+
+
+class Taker(asyncio.Protocol):
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport, self.reader = transport, Reader(BUFFERS)
+
+    def data_received(self, data: bytes) -> None:
+        for asked in self.reader.feed(data):
+            if not isinstance(asked, Request):
+                self.transport.close()
+            elif asked.target.startswith("/Plants.Heartbeat/"):
+                entry = beat_of(asked.target.rpartition("/")[2], json.loads(asked.body))
+                REGISTRY.take(round(time.monotonic() * 1e6), entry)
+                self.transport.write(answer_bytes(200, b"", {}, 15))
+            else:
+                self.transport.write(answer_bytes(200, b"", {}, 15))
+
+
+async def main(ip: str, port: int) -> None:
+    server = await asyncio.get_running_loop().create_server(Taker, ip, port, backlog=1024)
+    async with asyncio.timeout(60), server:
+        await server.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1], int(sys.argv[2])))
