--- a/benchmarks/capacity/measures.py
+++ b/benchmarks/capacity/measures.py
@@ -654,7 +654,8 @@
         "pull answer without news": len(frame(news([]))),
         "a roll-out's report": len(frame({"kind": "reports", "reports": [report(1, 9)]})),
         "a machine told, not pressed": len(json.dumps(told, separators=(",", ":"))) + 1,
-        "a route sent": len(json.dumps(route).encode())}
+        "a route sent": len(json.dumps(route).encode()),
+        "a route in a frame, not pressed": len(json.dumps(configuration(1_400).decode())) // 1_400}
 
 
 def processes() -> dict[str, int]:
