--- a/tests/gateway/features/steps/control_steps.py
+++ b/tests/gateway/features/steps/control_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then
 
 from tests.gateway import control
-from tests.gateway.control import body, counts, storm, value
+from tests.gateway.callers import body, counts, storm, value
 from tests.gateway.linear import NEVER, Op, broken
 from tests.gateway.world import MS, Broken, World
 from umbermoor.gateway.anemometer.plan import ROLLOUT
