--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -16,14 +16,15 @@
 from umbermoor.gateway.anemometer.plan import ROLLOUT
 from umbermoor.gateway.heliograph.reader import Reader as Pulls
 from umbermoor.gateway.mast import datagrams
-from umbermoor.gateway.mast.clients import ClientLine, request_bytes
+from umbermoor.gateway.mast.clients import ClientLine, relieve, request_bytes
 from umbermoor.gateway.mast.events import event, watch
 from umbermoor.gateway.mast.lines import Attempt, Pool
 from umbermoor.gateway.mast.post import Line, Post
 from umbermoor.gateway.mast.ready import ReadyLine
 from umbermoor.gateway.raingauge.budget import Budget
 from umbermoor.gateway.sonde.fronts import Sonde
-from umbermoor.gateway.vane.exchange import Exchange, Fate, Relay, Told, Wait
+from umbermoor.gateway.vane.answers import UNRUN, Event, Fate
+from umbermoor.gateway.vane.exchange import ANSWER_MARGIN, Exchange, Relay, Told, Wait
 from umbermoor.gateway.vane.plants import Plant, Plants
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Request, Response
@@ -84,6 +85,9 @@
         if route is None:
             line.told(slot, 404, b"", {})
             return
+        if not request.headers.get("x-attempt-id"):  # no answer could be known as its own
+            line.told(slot, 400, b"", {})
+            return
         told = request.headers.get("x-time-remaining", "")
         left = int(told) * 1000 - WAY if told.isdecimal() and len(told) < 9 else route.horizon_us
         service = route.service_for(self.chance.random())
@@ -93,6 +97,11 @@
         self.trials.asked(now, service)
         self.go(going)
 
+    def may_repeat(self, request: Request) -> bool:
+        """Whether it may be worked at while requests before it on its connection are."""
+        route = self.routes and self.routes.find(request.headers.get("host", ""), request.target.partition("?")[0])
+        return route is None or route.safe
+
     def may(self, plant: Plant) -> bool:
         """The gate right before every send."""
         now = self.now()
@@ -121,6 +130,10 @@
             if second:
                 budget.spend(now)
             self.hand(now, going, plant)
+        if going.out and now >= exchange.due - ANSWER_MARGIN:
+            self.take_back(going)
+            if exchange.closed:
+                return
         step = exchange.rest(now)
         if going.timer is not None:
             going.timer.cancel()
@@ -148,7 +161,7 @@
     def hand(self, now: int, going: Going, plant: Plant) -> None:
         exchange = going.exchange
         going.number += 1
-        number = going.number
+        number, anew = going.number, plant.id in exchange.tried
         usual = self.plants.usual.get(exchange.service, 100_000.0)
         exchange.attempt(now, number, plant, round(4 * usual * plant.pace))
         self.plants.sent(now, plant)
@@ -156,7 +169,7 @@
         data = request_bytes(going.request, plant.id, max(1, (exchange.due - now) // 1000))
         attempt = Attempt(data, going.request.headers.get("x-attempt-id", ""),
                           lambda fate, response: self.attempt_ended(going, number, plant, now, fate, response),
-                          going.request.method == "HEAD")
+                          going.request.method == "HEAD", anew)
         going.out[number] = attempt
         self.pool.start(plant, attempt, not exchange.safe)
 
@@ -174,11 +187,12 @@
             plants.full(now, plant)
         elif fate is Fate.WRONG:
             plants.wrong(plant)
+            self.pool.drop(plant)
         elif fate is Fate.WHOLE:
             plant.heard = now
-        else:
+        elif fate is not Fate.DROPPED:
             plants.failed(now, plant, fate is Fate.UNSENT)
-        entry, unrun = plant.entry, fate in (Fate.UNSENT, Fate.FULL, Fate.WRONG)
+        entry, unrun = plant.entry, fate in UNRUN
         self.trials.ended(now, entry.service, entry.revision, plant.id, plant.listed,
                           now - sent <= going.route.setpoint_us, fate is not Fate.WHOLE or status >= 500,
                           number > 1 or unrun)
@@ -200,13 +214,19 @@
     def leave_out(self, going: Going) -> None:
         """Attempts that are out when a request ends may go on until its time is over, and no longer: of a machine that
         went dark nothing comes, not even an end."""
+        self.take_back(going)
         if going.out:
             left = max(0, going.exchange.due - self.now()) / SECOND + OVERTIME
             asyncio.get_running_loop().call_later(left, self.give_up, going)
 
+    def take_back(self, going: Going) -> None:
+        """Attempts of which nothing was written end here: they are proved not to run."""
+        for attempt in list(going.out.values()):
+            attempt.meet(Event.UNWANTED)
+
     def give_up(self, going: Going) -> None:
         for attempt in list(going.out.values()):
-            attempt.give_up()
+            attempt.meet(Event.OVER)
 
     def client_left(self, slot: list) -> None:
         """Its connection is gone: what it asked is not sent anywhere else."""
@@ -325,6 +345,8 @@
                     budget.shared(now, slack, fronts)
                 for line in list(self.lines):
                     line.sweep(clock, self.head_s, self.idle_s)
+                if broken := relieve(self.lines, self.papers.memory_mb << 17):
+                    event("unread", broken=broken)
             await asyncio.sleep(TICK)
 
     def read_again(self) -> None:
@@ -356,7 +378,7 @@
         most = self.clock() + self.papers.margin("graceS", 6.0) - LINGER - 0.7
         while self.clock() < most:
             for line in list(self.lines):
-                if not line.row and not line.reader.midway:
+                if not line.row and not line.reader.midway and not line.ended:
                     line.transport.close()
             if not self.lines:
                 return
--- a/umbermoor/gateway/mast/lines.py
+++ b/umbermoor/gateway/mast/lines.py
@@ -1,11 +1,11 @@
-"""Connections to machines: one request at a time on each, kept for the next one. Carries out; decides only what a
-connection proves of the request on it."""
+"""Connections to machines: one request at a time on each, kept for the next one. What an event on one means is decided
+in vane/answers.py; this tells it which event it was, and carries out."""
 
 import asyncio
 from typing import Callable
 
 from umbermoor.gateway.mast.post import quicken
-from umbermoor.gateway.vane.exchange import Fate
+from umbermoor.gateway.vane.answers import SINGLE, Event, Fate, Line, Stage, classify, clean, decide
 from umbermoor.gateway.vane.plants import Plant
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Fault, Reader, Response
@@ -15,123 +15,121 @@
 IDLE_ONCE = 2.0  # s: for requests that may run only once
 SPARE = 1.0  # s: closed so long before the machine would
 ANSWER_MOST = 8 << 20  # bytes of an answer's body: it is held whole before any of it goes on
-PROMISES = 408, 429, 503  # to a client: it never runs. Of a machine's word only X-Not-Executed says so
 KEPT = 6  # idle connections kept to a machine
+IDS = 4  # the last ones of a line: none of them goes on it again, as a surplus answer to the first would fit the second
 
 
 class Attempt:
     """A request on its way to one machine; `done(fate, response)` is called once."""
 
-    __slots__ = "data", "id", "done", "sent", "over", "bodiless", "line"
+    __slots__ = "data", "id", "done", "over", "bodiless", "anew", "line"
 
     def __init__(self, data: bytes, id: str, done: Callable[[Fate, Response | None], None],
-                 bodiless: bool = False) -> None:
-        self.data, self.id, self.done, self.sent, self.over = data, id, done, False, False
+                 bodiless: bool = False, anew: bool = False) -> None:
+        self.data, self.id, self.done, self.over = data, id, done, False
         self.bodiless = bodiless  # it is a HEAD
-        self.line: MachineLine | None = None  # that carries it
+        self.anew = anew  # on a new connection: this request was at this machine before
+        self.line: MachineLine | None = None  # that carries it, or did
 
     def end(self, fate: Fate, response: Response | None = None) -> None:
         if not self.over:
             self.over = True
             self.done(fate, response)
 
-    def give_up(self) -> None:
-        """Its time is over: the machine has stopped work at it, or says nothing any more."""
-        if self.line is not None and not self.over:
-            self.line.give_up(self)
-        self.end(Fate.BROKEN if self.sent else Fate.UNSENT)
+    def meet(self, event: Event) -> None:
+        """What happens to it from this side: UNWANTED or OVER."""
+        if self.over:
+            return
+        if self.line is not None:
+            self.line.meet(event)
+        elif (fate := decide(Stage.CONNECTING, event).fate) is not None:
+            self.end(fate)
 
 
 class MachineLine(asyncio.Protocol):
-    __slots__ = "pool", "plant", "transport", "reader", "attempt", "idle_since", "idle_most", "poor"
+    __slots__ = "pool", "plant", "transport", "reader", "attempt", "idle_since", "idle_most", "tainted", "ids"
 
     def __init__(self, pool: "Pool", plant: Plant) -> None:
         self.pool, self.plant = pool, plant
         self.transport = self.attempt = None
-        self.reader = Reader(pool.buffers, responses=True, body_most=ANSWER_MOST)
-        self.idle_since, self.idle_most, self.poor = 0.0, IDLE, False
+        self.reader = Reader(pool.buffers, responses=True, body_most=ANSWER_MOST, single=SINGLE)
+        self.idle_since, self.idle_most, self.tainted = 0.0, IDLE, False
+        self.ids: tuple[str, ...] = ()  # of the last requests on it, newest first
 
     def connection_made(self, transport) -> None:
         self.transport = transport
         quicken(transport)
 
+    @property
+    def stage(self) -> Stage:
+        if self.attempt is None:
+            return Stage.RESTING
+        if self.transport.get_write_buffer_size():
+            return Stage.WRITING
+        return Stage.READING if self.reader.midway else Stage.WRITTEN
+
     def carry(self, attempt: Attempt) -> None:
         self.attempt, attempt.line = attempt, self
-        attempt.sent, self.reader.bodiless = True, attempt.bodiless
+        self.ids = (attempt.id, *self.ids[:IDS - 1])
+        self.reader.bodiless = attempt.bodiless
         self.transport.write(attempt.data)
 
     def data_received(self, data: bytes) -> None:
+        if self.attempt is None:
+            self.meet(Event.SURPLUS)
+            return
         all_found = self.reader.feed(data)
         for place, found in enumerate(all_found, 1):
-            if isinstance(found, Fault):
-                self._break(Fate.SPOILT)
-                return
             attempt = self.attempt
-            if attempt is None:  # an answer that nobody asked for
-                self._break(Fate.SPOILT)
+            if attempt is None:
+                self.meet(Event.SURPLUS)
                 return
-            if found.headers.get("x-attempt-id") != attempt.id:
-                if "x-attempt-id" in found.headers or found.status not in (421, 503, 429, 400):
-                    self.poor = True  # a surplus answer of an earlier request: ours is still to come
-                    continue
-            self.attempt = None
-            self.poor = self.poor or place < len(all_found)  # more came behind it
-            self._answer(attempt, found)
-
-    def _answer(self, attempt: Attempt, found: Response) -> None:
-        headers = found.headers
-        if not found.keep or self.poor or self.reader.midway or not self.pool.keeps(self):
-            self._close()
-        else:
-            self.idle_since = self.pool.clock()
-            self.idle_most = IDLE
-            for part in headers.get("keep-alive", "").split(","):
-                name, _, value = part.strip().partition("=")
-                if name.lower() == "timeout" and value.isdecimal() and len(value) < 9:
-                    self.idle_most = min(IDLE, int(value) - SPARE)
-            self.pool.rest(self)
-        if found.status == 421:
-            attempt.end(Fate.WRONG, found)
-        elif "x-not-executed" in headers:
-            attempt.end(Fate.FULL, found)
-        elif found.status in PROMISES or "content-encoding" in headers \
-                or 200 <= found.status < 300 and "x-server-seal" not in headers:
-            attempt.end(Fate.SPOILT, found)
-        else:
-            attempt.end(Fate.WHOLE, found)
-
-    def _close(self) -> None:
-        self.transport.close()
-
-    def give_up(self, attempt: Attempt) -> None:
-        """Breaks the connection that still carries it."""
-        if self.attempt is attempt:
-            self.attempt = None
-            self.transport.abort()
-
-    def _break(self, fate: Fate) -> None:
+            if isinstance(found, Fault):
+                self.meet(Event.GARBLED)
+                return
+            self.meet(classify(found.status, found.headers, attempt.id, len(self.ids) == 1), found,
+                      place < len(all_found) or self.reader.midway)
+
+    def meet(self, event: Event, found: Response | None = None, surplus: bool = False) -> None:
+        """Carries out what the table says; surplus: bytes lie behind the answer that was found."""
+        fate, line = decide(self.stage, event)
+        if line is Line.GO_ON:
+            self.tainted = self.tainted or event is Event.FOREIGN
+            return
         attempt, self.attempt = self.attempt, None
-        self.transport.abort()
+        if line is Line.BREAK:
+            self.transport.abort()
+        elif line is Line.REST and clean(found.keep, self.tainted, surplus, attempt.bodiless) \
+                and self.pool.keeps(self):
+            self._rest(found.headers.get("keep-alive", ""))
+        else:
+            self.transport.close()
         if attempt is not None:
-            attempt.end(fate)
+            attempt.end(fate, found)
+
+    def _rest(self, told: str) -> None:
+        self.idle_since, self.idle_most = self.pool.clock(), IDLE
+        for part in told.split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdecimal() and len(value) < 9:
+                self.idle_most = min(IDLE, int(value) - SPARE)
+        self.pool.rest(self)
 
     def eof_received(self) -> bool:
-        found = self.reader.end()
-        attempt, self.attempt = self.attempt, None
-        if attempt is not None:
-            if isinstance(found, Response) and found.headers.get("x-attempt-id") == attempt.id:
-                self.poor = True
-                self._answer(attempt, found)
-            else:
-                attempt.end(Fate.BROKEN)
+        found, attempt = self.reader.end(), self.attempt
+        if attempt is not None and isinstance(found, Response):  # its body ended with the connection
+            event = classify(found.status, found.headers, attempt.id, len(self.ids) == 1, framed=False)
+            if event is not Event.FOREIGN:
+                self.meet(event, found)
+        if not self.transport.is_closing():
+            self.meet(Event.ENDED)
         return False
 
     def connection_lost(self, error) -> None:
         self.reader.drop()
         self.pool.lost(self)
-        attempt, self.attempt = self.attempt, None
-        if attempt is not None:
-            attempt.end(Fate.BROKEN)
+        if self.attempt is not None:
+            self.meet(Event.ENDED)
 
 
 class Pool:
@@ -140,17 +138,18 @@
     def __init__(self, buffers: Buffers, clock: Callable[[], float], may: Callable[[Plant], bool]) -> None:
         self.buffers, self.clock, self.may = buffers, clock, may
         self.idle: dict[str, list[MachineLine]] = {}
-        self.open = 0
         self._tasks: set[asyncio.Task] = set()
 
     def start(self, plant: Plant, attempt: Attempt, once: bool) -> None:
         """Sends on a kept connection, or on a new one."""
-        lines = self.idle.get(plant.id, [])
-        now = self.clock()
-        while lines:
-            line = lines.pop()
-            if now - line.idle_since < min(line.idle_most, IDLE_ONCE if once else IDLE) \
-                    and not line.transport.is_closing():
+        lines = [] if attempt.anew else self.idle.get(plant.id, [])
+        now, most = self.clock(), IDLE_ONCE if once else IDLE
+        for place in range(len(lines) - 1, -1, -1):
+            line = lines[place]
+            if attempt.id in line.ids:
+                continue
+            del lines[place]
+            if now - line.idle_since < min(line.idle_most, most) and not line.transport.is_closing():
                 line.carry(attempt)
                 return
             line.transport.close()
@@ -160,18 +159,20 @@
 
     async def _open(self, plant: Plant, attempt: Attempt) -> None:
         host, _, port = plant.entry.address.rpartition(":")
-        self.open += 1
         try:
             async with asyncio.timeout(CONNECT):
                 _, line = await asyncio.get_running_loop().create_connection(
                     lambda: MachineLine(self, plant), host, int(port))
         except (OSError, TimeoutError, ValueError):
-            self.open -= 1
-            attempt.end(Fate.UNSENT)
+            attempt.end(decide(Stage.CONNECTING, Event.UNREACHED).fate)
             return
-        if attempt.over or not self.may(plant):  # what changed while it was opened
+        if attempt.over:
+            line.transport.close()
+        elif line.transport.is_closing():  # it was reset, or said something, before anything was written
+            attempt.end(decide(Stage.CONNECTING, Event.ENDED).fate)
+        elif not self.may(plant):  # what changed while it was opened
             line.transport.close()
-            attempt.end(Fate.UNSENT)
+            attempt.end(decide(Stage.CONNECTING, Event.BARRED).fate)
         else:
             line.carry(attempt)
 
@@ -182,7 +183,6 @@
         self.idle.setdefault(line.plant.id, []).append(line)
 
     def lost(self, line: MachineLine) -> None:
-        self.open -= 1
         lines = self.idle.get(line.plant.id)
         if lines and line in lines:
             lines.remove(line)
--- a/umbermoor/gateway/vane/exchange.py
+++ b/umbermoor/gateway/vane/exchange.py
@@ -4,30 +4,12 @@
 (503) is told only where that is proved of every machine it went to; second tries have their budget."""
 
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import NamedTuple
 
+from umbermoor.gateway.vane.answers import UNRUN, Fate, may_promise, may_repeat
 from umbermoor.gateway.vane.plants import Plant
 
 
-class Fate(Enum):
-    """How an attempt at a machine ended."""
-
-    WHOLE = "whole"  # a whole answer that belongs to it
-    FULL = "full"  # turned away, not run
-    WRONG = "wrong"  # another machine has the address, not run
-    UNSENT = "unsent"  # no byte of it left
-    BROKEN = "broken"  # no whole answer; it may have run
-    SPOILT = "spoilt"  # bytes that are no answer of that machine; it may have run
-
-
-class Try(NamedTuple):
-    """Hand it to this machine."""
-
-    plant: Plant
-    second: bool  # it has arrived somewhere before: counted as a repeat
-
-
 class Told(NamedTuple):
     """The final answer, made here."""
 
@@ -47,7 +29,7 @@
     until: int
 
 
-Step = Try | Told | Relay | Wait
+Step = Told | Relay | Wait
 
 RETRY_SOON = 0.05  # s: told to clients where a machine may be free at once
 RETRY_LATER = 0.25  # s: where none is listed, or all are jammed
@@ -94,10 +76,10 @@
             else:
                 self.failed = answer
             self.ran = True
-        elif fate is Fate.UNSENT:
+        elif fate in (Fate.UNSENT, Fate.DROPPED):
             self.sends -= 1
             self.unsent += 1
-        elif fate not in (Fate.FULL, Fate.WRONG):
+        elif fate not in UNRUN:
             self.ran = True
         return held[0]
 
@@ -106,7 +88,7 @@
         if self.sends >= self.tries or self.unsent > 4 or now >= self.due - ANSWER_MARGIN:
             return False
         if not self.out:
-            return self.safe or not self.ran
+            return may_repeat(self.safe, self.ran)
         return self.safe and len(self.out) < 2 and now >= self.hedge_at
 
     def rest(self, now: int) -> Step:
@@ -121,6 +103,6 @@
             return Wait(min(until, self.due - ANSWER_MARGIN))
         if self.failed is not None:
             return Relay(self.failed)
-        if self.ran:
+        if not may_promise(self.ran, len(self.out)):
             return Told(504 if now >= self.due - ANSWER_MARGIN else self.spoilt)
         return Told(503, RETRY_SOON if self.tried else RETRY_LATER)
--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -11,6 +11,8 @@
 _RESPONSE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n]*)?")
 LINE_MOST = 1024  # of the framing of chunks
 _SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?")
+_TRAILER = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:.*")
+_CONTROLS = bytes({*range(32), 127} - {*b"\t\r\n"})  # in no line of a message
 
 
 class Fault(NamedTuple):
@@ -54,7 +56,10 @@
     """Holds buffers only while a message is partly read."""
 
     def __init__(self, buffers: Buffers, responses: bool = False, as_pieces: bool = False,
-                 body_most: int = BODY_MOST) -> None:
+                 body_most: int = BODY_MOST, single: frozenset[str] | None = None) -> None:
+        """single: headers that may stand once. Where they are given, all is refused that another reader might read in
+        another way; None reads as the front in service always did."""
+        self._strict, self._single = single is not None, single or frozenset()
         self._run, self._responses, self._as_pieces = Run(buffers), responses, as_pieces
         self._body_most, self._most = body_most, MESSAGE_MOST - BODY_MOST + body_most
         self.bodiless = False  # the next response answers a HEAD
@@ -72,6 +77,12 @@
     def midway(self) -> bool:
         return self._head is not None or self._run.size > 0
 
+    @property
+    def expects(self) -> bool:
+        """A head is read that wants to hear 100 before its body is sent, of which nothing is here."""
+        return self._head is not None and not self._run.size \
+            and self._head[1].get("expect", "").lower() == "100-continue"
+
     @property
     def _streamed(self) -> bool:
         """Threat: the text of an error read as what a stream tells."""
@@ -135,7 +146,10 @@
         if end < 0:
             self._at = max(0, self._run.size - 3)
             return Fault(431, "head too large") if self._run.size >= HEAD_MOST else None
-        first, *lines = self._run.part(0, end).decode("latin-1").split("\r\n")
+        head = self._run.part(0, end)
+        if self._strict and len(head.translate(None, _CONTROLS)) != len(head):
+            return Fault(400, "control characters")
+        first, *lines = head.decode("latin-1").split("\r\n")
         line = (_RESPONSE if self._responses else _REQUEST).fullmatch(first)
         if line is None:
             return Fault(400, "no such first line")
@@ -145,14 +159,28 @@
             if not colon or not _TOKEN.fullmatch(name) or "\n" in value or "\r" in value or "\0" in value:
                 return Fault(400, "garbled header")
             name, value = name.lower(), value.strip(" \t")
-            if name == "content-length" and headers.get(name, value) != value:
+            if name not in headers:
+                headers[name] = value
+            elif name in self._single:
+                return Fault(400, "a header stands twice")
+            elif name != "content-length":
+                headers[name] = f"{headers[name]}, {value}"
+            elif headers[name] != value:
                 return Fault(400, "two lengths")
-            headers[name] = value if name not in headers or name == "content-length" else f"{headers[name]}, {value}"
         fault = self._frame(headers, int(line[2]) if self._responses else 0)
         if fault is not None:
             return fault
         asked = headers.get("connection", "").lower()
         minor = line[1] if self._responses else line[3]
+        if self._strict:
+            if minor == "0":
+                headers.pop("expect", None)
+            if minor == "0" and "transfer-encoding" in headers:
+                return Fault(400, "chunks in HTTP/1.0")
+            if self._responses and line[2] == "101":
+                return Fault(400, "another protocol, and nobody asked for it")
+            if not self._responses and (line[1] == "CONNECT" or minor == "1" and "host" not in headers):
+                return Fault(400, "no host")
         keep = "close" not in asked and (minor == "1" or "keep-alive" in asked)
         self._head = (int(line[2]) if self._responses else (line[1], line[2]), headers, keep)
         self._consume(end + 4)
@@ -197,8 +225,13 @@
             end = self._run.find(b"\r\n", self._at, self._at + LINE_MOST)
             if end < 0:
                 return Fault(400, "garbled chunk") if self._run.size - self._at >= LINE_MOST else None
+            line = self._run.part(self._at, end) if self._strict else b""
+            if b"\n" in line or b"\r" in line or line.translate(None, _CONTROLS) != line:
+                return Fault(400, "garbled chunk")
             if self._trailers:  # passed over, up to an empty line
                 last = end == self._at
+                if line and not _TRAILER.fullmatch(line):
+                    return Fault(400, "garbled trailer")
                 self._at = end + 2
                 if last:
                     body = b"".join(self._run.part(*chunk) for chunk in self._chunks)
