--- /dev/null
+++ b/tests/gateway/features/steps/members_steps.py
@@ -0,0 +1,198 @@
+"""Steps of the changes of the register's members, see tests/gateway/sets.py."""
+
+import json
+from typing import Any
+
+from behave import given, then, when
+
+from tests.gateway.sets import Sets, founded_sets, storm_sets
+from tests.gateway.world import MS
+from umbermoor.gateway.effects import Code
+
+
+def named(context: Any, number: int) -> str:
+    return context.sets.names[number - 1]
+
+
+@given("the register plays storms of changes {first:d} to {last:d} among {members:d} members")
+def _(context: Any, first: int, last: int, members: int) -> None:
+    context.worlds = [storm_sets(seed, members, 2, 24) for seed in range(first, last + 1)]
+
+
+@then("the register kept every promise in each of them, over at least {changes:d} changes")
+def _(context: Any, changes: int) -> None:
+    assert all(world.model.puts for world in context.worlds)
+    done = sum(world.newest[1].number for world in context.worlds)
+    assert done >= changes, done
+
+
+@given("a register of {members:d} members with {spares:d} spares")
+def _(context: Any, members: int, spares: int) -> None:
+    context.sets = founded_sets(members, members, spares)
+
+
+@when("each member is replaced by a spare while puts are made")
+def _(context: Any) -> None:
+    world: Sets = context.sets
+    context.puts = []
+    over = []
+
+    def put() -> None:
+        if over:
+            return
+        context.puts.append(world.put(world.members()[len(context.puts) % 3], "config/a"))
+        world.after(25 * MS, put)
+
+    put()
+    for old, new in zip(list(world.members()), world.names[3:]):
+        number = world.change(world.members()[1], new, old)
+        assert world.run(1000 * MS, lambda number=number: world.changes[number] is not None)
+        assert world.changes[number] is Code.OK, world.refusals
+        world.run(1500 * MS)
+    over.append(True)
+    world.run(1000 * MS)
+
+
+@then("the register has none of its first members, and holds all that it told")
+def _(context: Any) -> None:
+    assert not set(context.sets.members()) & set(context.sets.first)
+    context.sets.check()
+
+
+@then("at most one put a replacement was answered LATER")
+def _(context: Any) -> None:
+    """The one that was on its way when the view changed: nobody may hand it to a second head."""
+    calls = [context.sets.calls[number] for number in context.puts]
+    late = [call for call in calls if call.answered is not Code.OK]
+    assert len(calls) > 150 and len(late) <= 3, late
+
+
+@given("the register plays two orders at two members up to {ms:d} ms apart, {times:d} times")
+def _(context: Any, ms: int, times: int) -> None:
+    context.worlds = []
+    for seed in range(times):
+        world = founded_sets(seed, 5, 2)
+        context.worlds.append(world)
+        world.change(world.members()[0], "10.0.0.100", world.members()[3])
+        world.run(ms * MS * seed // times)
+        world.change(world.members()[-1], "10.0.0.101", world.members()[1])
+        world.run(2000 * MS)
+
+
+@then("in each of them one set followed another")
+def _(context: Any) -> None:
+    """World checks each set that is in force, as it comes to be."""
+    for world in context.worlds:
+        assert world.newest[1].number in (1, 2), world.newest
+        world.check()
+
+
+@when("member {number:d} of the register stops for {ms:d} ms")
+def _(context: Any, number: int, ms: int) -> None:
+    context.sets.stop(named(context, number))
+    context.sets.run(ms * MS)
+
+
+@when("member {number:d} of the register starts")
+def _(context: Any, number: int) -> None:
+    context.sets.start(named(context, number))
+
+
+@when("{ms:d} ms pass in the register")
+def _(context: Any, ms: int) -> None:
+    context.sets.run(ms * MS)
+
+
+@when("member {number:d} of the register is ordered to {what:w} member {other:d}")
+def _(context: Any, number: int, what: str, other: int) -> None:
+    order(context, number, what, named(context, other))
+
+
+@when("member {number:d} of the register is ordered to add a stranger")
+def _(context: Any, number: int) -> None:
+    order(context, number, "add", "10.9.9.9")
+
+
+@when("member {number:d} of the register is ordered to replace member {other:d} once that may be")
+def _(context: Any, number: int, other: int) -> None:
+    context.sets.run(2000 * MS)
+    order(context, number, "replace", named(context, other))
+    assert context.sets.changes[context.order] is Code.OK, context.sets.refusals
+
+
+def order(context: Any, number: int, what: str, who: str) -> None:
+    world: Sets = context.sets
+    add = {"add": who, "replace": "10.0.0.100"}.get(what, "")
+    context.order = world.change(named(context, number), add, "" if what == "add" else who)
+    world.run(1000 * MS, lambda: world.changes[context.order] is not None)
+
+
+@then('the order is refused: "{why}"')
+def _(context: Any, why: str) -> None:
+    assert context.sets.refusals == [why], context.sets.refusals
+
+
+@then("the order is done, and no member is thin")
+def _(context: Any) -> None:
+    world: Sets = context.sets
+    assert world.changes[context.order] is Code.OK, world.refusals
+    assert world.run(200 * MS, world.whole)
+
+
+@then("the register serves with member 2 and a spare")
+def _(context: Any) -> None:
+    chain = sorted([named(context, 2), "10.0.0.100"])
+    assert sorted(context.sets.machines[chain[0]].member.story()["chain"]) == chain
+    assert context.sets.machines[chain[0]].member.thin
+
+
+@when("the spare comes with the disk of another system")
+def _(context: Any) -> None:
+    world: Sets = context.sets
+    other = founded_sets(77, 3, 1)
+    world.stop("10.0.0.100")
+    world.machines["10.0.0.100"].disk = dict(other.machines[other.names[0]].disk)
+    world.start("10.0.0.100")
+
+
+@then("no member counts the spare among its learners")
+def _(context: Any) -> None:
+    for name in context.sets.first:
+        assert context.sets.machines[name].member.story()["learners"] == []
+
+
+@then("member {number:d} of the register is a learner, and answers LATER")
+def _(context: Any, number: int) -> None:
+    world: Sets = context.sets
+    member = world.machines[named(context, number)].member
+    assert member.story()["role"] == "learner" and not member.connected
+    call = world.calls[world.read(named(context, number))]
+    assert call.answered is Code.LATER
+
+
+@when("all stop, and the members' disks hold what the revision before stored")
+def _(context: Any) -> None:
+    world: Sets = context.sets
+    world.stop("10.0.0.100")
+    for name in world.first:
+        world.stop(name)
+        disk = world.machines[name].disk
+        assert json.loads(disk["members"]) == world.first
+        del disk["sets"], disk["system"]
+
+
+@when("all members start again")
+def _(context: Any) -> None:
+    for name in context.sets.first:
+        context.sets.start(name, cold=False)
+
+
+@then("the register is whole within {ms:d} ms, and a spare that comes may be taken in")
+def _(context: Any, ms: int) -> None:
+    world: Sets = context.sets
+    assert world.run(ms * MS, world.whole)
+    world.start("10.0.0.100")
+    world.run(3000 * MS)
+    order(context, 1, "replace", named(context, 2))
+    assert world.changes[context.order] is Code.OK, world.refusals
+    world.check()
--- /dev/null
+++ b/tests/gateway/sets.py
@@ -0,0 +1,285 @@
+"""Members of the register that change while it serves, in virtual time: newcomers, those taken out, and who counts."""
+
+import json
+import random
+from typing import Any
+
+from tests.gateway import world as world_module
+from tests.gateway.world import MS, Broken, Machine, World, _fault, _nerves
+from umbermoor.gateway.barograph import membership
+from umbermoor.gateway.barograph.member import Member
+from umbermoor.gateway.barograph.membership import Membership
+from umbermoor.gateway.effects import Answer, Code
+
+
+class Sets(World):
+    """A world with `spares` machines more, that start empty and are members only once they are taken in."""
+
+    def __init__(self, seed: int, members: int = 3, spares: int = 2, bear: int | None = None) -> None:
+        super().__init__(seed, members, bear)
+        self.first = list(self.names)
+        for n in range(spares):
+            name = f"10.0.0.{100 + n}"
+            self.machines[name] = Machine(name, wiped=True)
+        self.names = list(self.machines)
+        self.numbers: dict[int, Membership] = {}  # sets that were in force
+        self.newest: tuple[int, Membership] = (0, membership.NONE)
+        self.changes: dict[int, Code | None] = {}
+        self.refusals: list[str] = []
+
+    def start(self, name: str, cold: bool | None = None) -> None:
+        machine = self.machines[name]
+        if self.newest[0] and not machine.disk or name not in self.first:
+            cold = False
+        super().start(name, cold)
+
+    def start_all(self, cold: bool | None = None) -> None:
+        for name in self.names if self.newest[0] else self.first:
+            if not self.machines[name].member:
+                self.start(name, cold)
+
+    def _look(self, machine: Machine, member: Member) -> None:
+        super()._look(machine, member)
+        epoch, sets = member._proven
+        if epoch:
+            known = self.numbers.setdefault(sets.number, sets)
+            if known.new != sets.new:
+                raise Broken(f"two sets of number {sets.number}: {known.new} and {sets.new}")
+            before = self.numbers.get(sets.number - 1)
+            if sets.number and before and (sets.old not in (before.new, sets.new) or _apart(before, sets) > 2):
+                raise Broken(f"{sets} came after {before}")
+            if epoch > self.newest[0]:
+                if sets.number < self.newest[1].number:
+                    raise Broken(f"{sets} came back after {self.newest[1]}")
+                self.newest = epoch, sets
+
+    # who counts
+
+    def counting(self) -> set[str]:
+        """Whose disk holds what may be the last copy but `bear`: members, those that a change under way still needs,
+        and those taken out as long as too few of the others have on disk that they are."""
+        epoch, sets = self.newest
+        names = set(sets.members)
+        stored = [json.loads(one.disk["sets"]) for one in self.machines.values() if "sets" in one.disk]
+        know = [
+            one.name for one in self.machines.values()
+            if "sets" in one.disk and json.loads(one.disk["sets"])[2][1] >= sets.number and one.name in names
+        ]
+        if len(know) <= self.bear:
+            names |= set(sets.names)
+        for one in self.machines.values():
+            if "sets" in one.disk and json.loads(one.disk["view"])[0] > epoch:
+                names |= set(membership.read(json.loads(one.disk["sets"])[0]).names)
+        assert stored or not epoch
+        return names
+
+    def lose_disk(self, name: str) -> bool:
+        machine = self.machines[name]
+        counting = self.counting()
+        lost = sum(self.machines[one].wiped for one in counting)
+        if name in counting and lost >= self.bear and not machine.wiped:
+            return False
+        self.stop(name)
+        machine.disk.clear()
+        machine.wiped = True
+        machine.member = None
+        machine.seen = (0, 0)
+        return True
+
+    # changes
+
+    def change(self, name: str, add: str = "", remove: str = "", dry: bool = False) -> int:
+        """Order it there; the number of the call, whose answer is in `changes`."""
+        machine = self.machines[name]
+        number = -len(self.changes) - 1
+        self.changes[number] = None
+        assert machine.member
+        self._do(machine, machine.member.change(self.now, number, add, remove, dry))
+        return number
+
+    def _answered(self, answer: Answer) -> None:
+        if answer.ask >= 0:
+            super()._answered(answer)
+            return
+        if self.changes[answer.ask] is not None:
+            raise Broken(f"change {answer.ask} was answered twice")
+        self.changes[answer.ask] = answer.code
+        if answer.code is Code.CLASH:
+            self.refusals.append(answer.value["why"])
+
+    def leave(self, name: str, within: int = 2000 * MS) -> None:
+        """SIGTERM: it hands over, and ends."""
+        machine = self.machines[name]
+        if machine.member:
+            self._do(machine, machine.member.leave(self.now))
+            self._leaving(machine, machine.life, self.now + within)
+
+    def _leaving(self, machine: Machine, life: int, until: int) -> None:
+        if machine.member and machine.life == life:
+            if machine.member.left or self.now >= until:
+                self.stop(machine.name)
+            else:
+                self.after(20 * MS, lambda: self._leaving(machine, life, until))
+
+    # what is looked at
+
+    def members(self) -> list[str]:
+        return list(self.newest[1].members)
+
+    def whole(self) -> bool:
+        names = self.members() or self.first
+        running = [self.machines[name].member for name in names if self.machines[name].member]
+        return len(running) == len(names) and all(
+            sorted(member.story()["chain"]) == sorted(names)
+            and member.story()["role"] not in ("out", "blank", "learner")
+            and not member.thin
+            for member in running
+        )
+
+    def settle(self) -> None:
+        super().settle()
+        self.run(2200 * MS)  # those that were told to end have
+        self.start_all()
+
+    def check(self) -> None:
+        """All faults gone: the members' chain becomes whole, holds all that was told, and takes puts at each."""
+        self.settle()
+        if not self.run(20_000 * MS, self.whole):
+            stories = [(name, one.member and one.member.story(), one.wiped) for name, one in self.machines.items()]
+            raise Broken(f"not whole: {self.newest} {stories}")
+        self.run(1500 * MS)
+        for name in self.members():
+            for number in (self.put(name, "config/last"), self.read(name)):
+                self.run(900 * MS)
+                if self.calls[number].answered is not Code.OK:
+                    raise Broken(f"{name} answers {self.calls[number].answered} once all is well")
+        for name in self.members():
+            member = self.machines[name].member
+            assert member
+            for key, rev in self.model.told.items():
+                if member.committed[key]["rev"] < rev:
+                    raise Broken(f"{name} holds {member.committed[key]}, {rev} was told")
+        self.model.end()
+
+
+def _apart(one: Membership, other: Membership) -> int:
+    return len(set(one.members) ^ set(other.members))
+
+
+def founded_sets(seed: int, members: int = 3, spares: int = 2, bear: int | None = None) -> Sets:
+    """A world whose members have founded their system, and whose spares run as learners."""
+    world = Sets(seed, members, spares, bear)
+    for name in world.first:
+        world.start(name)
+    if not world.run(5_000 * MS, world.whole):
+        raise Broken("not founded")
+    world.start_all()
+    world.run(2500 * MS)
+    return world
+
+
+def storm_sets(seed: int, members: int = 3, spares: int = 2, steps: int = 60, changes: int = 0) -> Sets:
+    """Faults, calls and changes of the set at random for a while, then calm; raises Broken.
+
+    `changes`: go on for up to ten times as many steps, until that many changes were in force.
+    """
+    world = founded_sets(seed, members, spares)
+    chance = world.chance
+    if seed % 3 == 0:
+        _nerves(world, chance, steps // 4)
+    severity = chance.choice((0.2, 0.4, 0.8, 1.5))
+    done = 0
+    while done < steps or world.newest[1].number < changes and done < 10 * steps:
+        done += 1
+        for _ in range(chance.choice((0, 1, 1, 3))):
+            _change(world, chance)
+        if chance.random() < 0.6:
+            _fault(world, chance, severity)
+        if chance.random() < 0.1:
+            world.leave(chance.choice(world.names))
+        for _ in range(chance.randrange(5)):
+            running = [name for name in world.names if world.machines[name].member]
+            if running:
+                name = chance.choice(running)
+                key = chance.choice(("config/a", "config/b", "any/x"))
+                world.put(name, key) if chance.random() < 0.7 else world.read(name)
+            world.run(chance.randrange(60 * MS))
+        world.run(chance.choice((10, 50, 200, 1000, 2000)) * chance.randrange(MS))
+        if chance.random() < 0.35:  # a calm, in which those lost are filled and learners get ready
+            world.cut.clear()
+            world.loss = world.doubled = world.late = 0.0
+            for machine in world.machines.values():
+                machine.mode = "well"
+            world.start_all()
+            world.run(chance.randrange(4000 * MS), world.whole)
+            world.run(chance.randrange(1500 * MS))
+        if chance.random() < 0.2:  # one that was taken out loses its disk: it comes back as a stranger
+            out = [name for name in world.names if name not in world.counting()]
+            if out:
+                name = chance.choice(out)
+                world.lose_disk(name)
+                world.start(name)
+    world.check()
+    return world
+
+
+def _change(world: Sets, chance: random.Random) -> None:
+    members = world.members()
+    running = [name for name in members if world.machines[name].member]
+    if not running:
+        return
+    strangers = [name for name in world.names if name not in members]
+    add = chance.choice(strangers) if strangers and chance.random() < 0.8 else ""
+    remove = chance.choice(members) if chance.random() < 0.8 else ""
+    world.change(chance.choice(running), add, remove)
+    if add and chance.random() < 0.15:  # the newcomer dies in the midst
+        world.after(chance.randrange(30 * MS), lambda: world.stop(add))
+    if chance.random() < 0.4:  # raced by another order
+        other, place = (chance.choice(("", *strangers)), chance.choice(members)), chance.choice(running)
+        world.after(chance.randrange(40 * MS), lambda: world.machines[place].member and world.change(place, *other))
+
+
+
+
+class CountsLearners(Member):
+    """Broken on purpose: the promise of one that is to be filled counts like any other."""
+
+    def _on_promise(self, sender: str, message: dict[str, Any]) -> None:
+        filled = {**message, "blank": False, "state": {}} if message["blank"] else message
+        super()._on_promise(sender, filled)
+
+
+class AsksNewAlone(Member):
+    """Broken on purpose: a majority of the new set is enough for a change, so one may leave with the only copy."""
+
+    def _propose(self, shunned: frozenset[str], sets: Membership | None = None, add: str = "") -> None:
+        super()._propose(shunned, sets, add)
+        if self._attempt and sets:
+            self._attempt.sets = self._attempt.sets.settled()
+
+
+class ChangesTwice(Member):
+    """Broken on purpose: what others tell of a newer set while a change is agreed on is not heeded."""
+
+    def _weigh_sets(self, attempt: Any, promise: Any, message: dict[str, Any]) -> None:
+        change, add, sets = attempt.change, attempt.add, attempt.sets
+        super()._weigh_sets(attempt, promise, message)
+        if change:
+            attempt.change, attempt.add, attempt.sets = change, add, sets
+
+
+SABOTAGES = {"counts learners": CountsLearners, "asks the new set alone": AsksNewAlone, "changes twice": ChangesTwice}
+
+
+def found_by(kind: str, first: int, most: int, members: int = 3) -> int | None:
+    """The first storm that shows a program that is broken so; None: none of them does."""
+    kept, world_module.Member = world_module.Member, SABOTAGES[kind]
+    try:
+        for seed in range(first, first + most):
+            try:
+                storm_sets(seed, members, 2, 40)
+            except Broken:
+                return seed
+    finally:
+        world_module.Member = kept
+    return None
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -11,9 +11,10 @@
 from functools import partial
 from typing import Any, Callable, Mapping, NamedTuple, Sequence
 
-from umbermoor.gateway.barograph import words
+from umbermoor.gateway.barograph import membership, words
 from umbermoor.gateway.barograph.asks import Asks, Taken
 from umbermoor.gateway.barograph.disk import Disk
+from umbermoor.gateway.barograph.membership import NONE, Membership, Outlook
 from umbermoor.gateway.barograph.peers import STEADY, Peer, Peers
 from umbermoor.gateway.barograph.view import (
     MOST,
@@ -24,7 +25,6 @@
     View,
     choose_chain,
     epoch_after,
-    majority,
 )
 from umbermoor.gateway.effects import Answer, Code, Effect, Send
 
@@ -48,6 +48,8 @@
 UNCOMMITTED = 64  # writes on their way that a head takes at most
 READERS = 256
 BATCH = 16  # entries in a message
+LEARNERS = 8  # strangers that want to be members, known at once
+CHANGE = 4000 * MS  # a change of the members that is not active by then is answered LATER
 
 
 class Entry(NamedTuple):
@@ -90,6 +92,13 @@
         self._out: list[Effect] = []
         self._local: deque[dict[str, Any]] = deque()
         self._disk, self._peers, self._asks = Disk(), Peers(me), Asks()
+        sets = json.loads(stored.get("sets", b"null")) or [None, 0, None]
+        first = membership.founded(self.everyone, json.loads(stored.get("system", b"0"))) if self.everyone else NONE
+        self._held_sets = membership.read(sets[0]) if sets[0] else first  # of the view that was accepted last
+        self._proven: tuple[int, Membership] = (sets[1], membership.read(sets[2])) if sets[2] else (0, first)
+        self._outside = Peers(me, LEARNERS)  # learners
+        self._change: tuple[int, int, str, str] | None = None  # ask, until when, add, remove
+        self._leaving = False
         self._fresh = cold and not self.everyone
         self._blank = not cold and not self.everyone
         self._pinged = -PING
@@ -98,6 +107,8 @@
         self._promise: int = json.loads(stored.get("promise", b"0"))
         epoch, chain = json.loads(stored.get("view", b"[0,[]]"))
         self._held = View(epoch, tuple(chain))  # accepted last
+        self.sets = self._find_sets()  # who counts, as far as is known here
+        self.everyone = self.sets.names
         self._state = {key[6:]: json.loads(value) for key, value in stored.items() if key.startswith("state/")}
         version = json.loads(stored.get("version", b"[0,0]"))
         if version[0] != epoch:
@@ -153,6 +164,7 @@
             self._consider()
             self._again()
             self._catch_up()
+            self._go_on_changing()
         elif self._fresh and self._seeds[:1] == (self.me,):
             self._found()
         if self._settled and not self._promise and self._is_founder():
@@ -196,17 +208,90 @@
         self._send_asks()
         return self._effects()
 
+    def change(self, now: int, ask: int, add: str = "", remove: str = "", dry: bool = False) -> list[Effect]:
+        """Have the set of members become another: one more, one fewer, or one in the place of another.
+
+        Answered OK with what it leaves once the new set is in force (`dry`: at once); CLASH with `why` where it is
+        refused; LATER where that cannot be told, and it may come to be nevertheless.
+        """
+        self._at(now)
+        if not self._serving():
+            self._out.append(Answer(ask, Code.LATER, {"why": "this member is not in the chain"}))
+        elif self._done(add, remove):
+            self._out.append(Answer(ask, Code.OK, self.outlook("", "")._replace(why="").told()))
+        elif (look := self.outlook(add, remove)).why or dry:
+            self._out.append(Answer(ask, Code.CLASH if look.why else Code.OK, look.told()))
+        elif self._change:
+            self._out.append(Answer(ask, Code.CLASH, {"why": "another change is under way"}))
+        else:
+            self._change = ask, now + CHANGE, add, remove
+            self._go_on_changing()
+        return self._effects()
+
+    def outlook(self, add: str, remove: str) -> Outlook:
+        """What a change would leave, and why it would be refused."""
+        present = self.sets
+        look = membership.outlook(present, self._view.chain, self.learners(), add, remove, self.bear)
+        if not look.why and (old := self._of_an_earlier_revision()):
+            look = look._replace(why=f"{old} runs a revision that knows no changes of the members")
+        return look
+
+    def learners(self) -> list[str]:
+        """Strangers that could be taken in now: heard by the chain and hearing it, steadily, well, and to be filled."""
+        found = []
+        for who, peer in sorted(self._outside.heard(self._now).items()):
+            others = [other for other in self._view.chain if other != self.me]
+            heard = all((known := self._peers.get(other)) and who in known.ping["hears"] for other in others)
+            hears = {self.me, *others} <= {self.me, *peer.ping["hears"]} and self.me in peer.ping["hears"]
+            fit = peer.ping["well"] and (not peer.ping["blank"] or peer.ping["ready"])
+            if fit and heard and hears and self._now - peer.since >= STEADY:
+                found.append(who)
+        return found
+
+    def leave(self, now: int) -> list[Effect]:
+        """This process is about to end, in order: the chain is to go on without it. The set stays as it is."""
+        self._at(now)
+        self._leaving = True
+        self._ping_all()
+        return self._effects()
+
+    @property
+    def left(self) -> bool:
+        """Whether it may end without holding up anything: another chain serves, so a majority holds what it holds."""
+        return self._leaving and (not self._able() or self.me not in self._view.chain and self._hears_serving(HEARD))
+
+    @property
+    def thin(self) -> bool:
+        """Whether fewer losses can be borne now than `bear` says, as far as is known here."""
+        members = self.sets.members
+        up = [who for who in self._view.chain if who in members]
+        joint = self.sets.old != self.sets.new
+        spare = len(up) - (len(members) // 2 + 1)
+        return not self._view.epoch or joint or spare < min(self.bear, (len(members) - 1) // 2)
+
     @property
     def connected(self) -> bool:
         """Whether it hears a majority, and a chain that serves is known: this member is in it, or hears of it."""
-        if self._blank or not self.everyone:
+        if self._blank or not self.counted:
             return False
         heard = self._peers.heard(self._now, HEARD)
-        return len(heard) + 1 >= majority(self.everyone) and (self._serving() or self._hears_serving(HEARD))
+        return self.sets.quorum({self.me, *heard}) and (self._serving() or self._hears_serving(HEARD))
+
+    def _find_sets(self) -> Membership:
+        """Of the view accepted last, or of a later one known to be active."""
+        epoch, proven = self._proven
+        return self._held_sets if self._held.epoch > epoch else proven.settled()
+
+    @property
+    def counted(self) -> bool:
+        """Whether this is a member, and no learner, stranger, or one that was taken out."""
+        return self.me in self.everyone
 
     def story(self) -> dict[str, Any]:
         """For operators: epoch, chain, role, version, waiting."""
-        if self._blank or self._fresh:
+        if self.everyone and not self.counted:
+            role = "learner"
+        elif self._blank or self._fresh:
             role = "blank"
         elif not self._serving():
             role = "out"
@@ -219,6 +304,10 @@
             "role": role,
             "version": list(self.version),
             "waiting": len(self._pending),
+            "members": list(self.sets.members),
+            "set": self.sets.number,
+            "thin": self.thin,
+            "learners": sorted(self._outside.heard(self._now)),
         }
 
     # in and out
@@ -245,14 +334,21 @@
 
     def _hear(self, sender: str, message: dict[str, Any]) -> None:
         kind = message["kind"]
-        if kind in ("ping", "found", "settled") or sender in self.everyone:
+        if kind in ("ping", "found", "settled") or self._listens(sender, kind):
             getattr(self, f"_on_{kind}")(sender, message)
 
+    def _listens(self, sender: str, kind: str) -> bool:
+        if sender in self.everyone or sender == self.me or sender in self._held.chain:
+            return True
+        if self._attempt and sender in self._attempt.sets.names:
+            return True
+        return kind in ("learn", "fetch") and self._outside.get(sender) is not None
+
     def _others(self) -> list[str]:
         return [who for who in self.everyone if who != self.me]
 
     def _able(self) -> bool:
-        return bool(self.everyone) and not self._blank
+        return self.counted and not self._blank
 
     # pings
 
@@ -265,55 +361,128 @@
             "blank": self._blank,
             "ready": self._ready(),
             "well": self._disk.well(self._now),
-            "members": list(self.everyone),
+            "members": list(self._proven[1].members),
             "promise": self._floor() if self._blank else self._promise,
             "joined": self._joined,
             "serving": self._serving(),
             "view": [self._view.epoch, list(self._view.chain)] if self._view.epoch else None,
             "committed": list(self.version),
             "hears": self._hearing(),
+            "number": self._proven[1].number,
+            **({"leaving": True} if self._leaving else {}),
         }
 
     def _hearing(self) -> list[str]:
-        return sorted(self._peers.heard(self._now))
+        return sorted((*self._peers.heard(self._now), *self._outside.heard(self._now)))
 
     def _ping_all(self) -> None:
         self._pinged = self._now
         ping = self._ping()
-        for who in self.everyone or dict.fromkeys([*self._seeds, *self._peers.heard(self._now)]):
+        if self.counted:
+            asked = dict.fromkeys((*self.everyone, *self._outside.heard(self._now)))
+        else:
+            asked = dict.fromkeys((*self.everyone, *self._seeds, *self._peers.heard(self._now)))
+        for who in asked:
             if who != self.me:
-                self._send(who, "ping", **ping)
+                self._send(who, "ping", **ping, **self._sets_for(who))
+
+    def _sets_for(self, who: str) -> dict[str, Any]:
+        """The system's number and the set, for one that is not known to have them."""
+        peer = self._peers.get(who) or self._outside.get(who)
+        epoch, proven = self._proven
+        if self.counted and not self._blank and peer and not peer.ping["blank"]:
+            told: dict[str, Any] = {}
+        else:
+            told = {"system": proven.system}
+        if proven.number and not (peer and peer.ping.get("number", 0) >= proven.number):
+            told["sets"] = [epoch, proven.told()]
+        return told
 
     def _on_ping(self, sender: str, ping: dict[str, Any]) -> None:
-        if self.everyone and sender not in self.everyone:
-            if not ping["members"]:  # a stranger asks: it may learn that it is one
-                self._send(sender, "ping", **self._ping())
+        known = sender in self.everyone
+        self._learn_sets(sender, ping)
+        epoch, proven = self._proven
+        if known and ping["view"] and ping.get("number", 0) == proven.number:
+            self._know(View(ping["view"][0], tuple(ping["view"][1])), proven)
+        if self.counted and sender not in self.everyone:
+            self._meet_stranger(sender, ping)
             return
         if not self.everyone:
             self._meet(sender, ping)
         if self._peers.hear(self._now, sender, ping):
             self._grown_at = self._now
             self._shunned.pop(sender, None)
-            self._send(sender, "ping", **self._ping())
+            self._send(sender, "ping", **self._ping(), **self._sets_for(sender))
         if not self.everyone:
             return
         if ping["promise"] and not ping["blank"] and self._settled and self._is_founder() and not self._promise:
             self._forget()
-        if ping["view"]:
-            self._know(View(ping["view"][0], tuple(ping["view"][1])))
         if tuple(ping["committed"])[0] == self._joined:
             self._commit(ping["committed"][1])
 
+    def _meet_stranger(self, sender: str, ping: dict[str, Any]) -> None:
+        """One that is no member: a learner of this system, or one that is to learn that it is none."""
+        known = ping.get("system", 0)
+        if "number" in ping and known in (0, self._proven[1].system) and not ping["fresh"] and not self._blank:
+            if self._outside.hear(self._now, sender, ping):
+                self._send(sender, "ping", **self._ping(), **self._sets_for(sender))
+        elif not ping["members"]:
+            self._send(sender, "ping", **self._ping(), **self._sets_for(sender))
+
     def _meet(self, sender: str, ping: dict[str, Any]) -> None:
-        """Learn who the members are, if this is one of them that has lost its disk."""
+        """Learn who the members are, if this is one of them that has lost its disk, or a machine that may learn."""
         members = tuple(ping["members"])
-        if self.me in members and sender in members and ping["promise"] and not ping["blank"]:
+        if not ping["promise"] or ping["blank"] or sender not in members or not ping.get("sets") and ping.get("number"):
+            return
+        if self.me in members or "number" in ping and self._blank:
             self._fresh, self._blank = False, True
-            self._became(members)
+            system = ping.get("system", 0)
+            self._proven = 0, membership.founded(members, system)
+            if ping.get("sets"):
+                self._proven = ping["sets"][0], membership.read(ping["sets"][1])
+            self._became()
+
+    def _learn_sets(self, sender: str, ping: dict[str, Any]) -> None:
+        """A later set that is known to be in force."""
+        if not self.everyone:
+            return
+        system, trusted = ping.get("system", 0), sender in self.everyone and ping["promise"] and not ping["blank"]
+        if self._blank and trusted and system and system != self._proven[1].system:  # what it founded came to nothing
+            self._proven = self._proven[0], self._proven[1]._replace(system=system)
+            self._became()
+        if not ping.get("sets"):
+            return
+        epoch, sets = ping["sets"][0], membership.read(ping["sets"][1])
+        known = self._proven[1]
+        if sets.number > known.number and sets.system == known.system and epoch > self._proven[0]:
+            self._proven = epoch, sets
+            self._keep_sets()
+            self._became()
+
+    def _became(self) -> None:
+        """The sets may have changed."""
+        self.sets = self._find_sets()
+        names = self.sets.names
+        if names == self.everyone:
+            return
+        self.everyone = names
+        for who in names:
+            if peer := self._outside.get(who):
+                self._peers.adopt(who, peer)
+        self._peers.keep(names)
+        self._outside.drop(names)
+        self._learnt, self._learn = {}, 0
+
+    def _sets_puts(self) -> dict[str, bytes | None]:
+        epoch, proven = self._proven
+        return {
+            "sets": write_json([self._held_sets.told(), epoch, proven.told()]),
+            "members": write_json(self.everyone),
+        }
 
-    def _became(self, members: tuple[str, ...]) -> None:
-        self.everyone = members
-        self._peers.keep(members)
+    def _keep_sets(self) -> None:
+        if not self._blank and self._settled:
+            self._disk.want(self._sets_puts(), "sets", lambda: None)
 
     # founding
 
@@ -324,9 +493,17 @@
         known = {who: peer for who, peer in self._peers.heard(self._now).items() if peer.ping["fresh"]}
         enough = 2 * self.bear + 1 <= len(known) + 1 <= MOST
         if enough and self._now - max(self._grown_at, self._began) >= FOUND:
-            self._fresh = False
-            self._became(tuple(sorted([*known, self.me])))
-            self._disk.want({"members": write_json(self.everyone)}, "members", self._have_settled)
+            drawn = self._chance.getrandbits(48) | 1
+            all_know = all("number" in peer.ping for peer in known.values())  # else it is derived from the names
+            self._settle([*known, self.me], drawn if all_know else 0)
+
+    def _settle(self, members: Sequence[str], system: int) -> None:
+        self._fresh = False
+        self._held_sets = membership.founded(members, system)
+        self._proven = 0, self._held_sets
+        self._became()
+        puts = {"members": write_json(self.everyone), "system": write_json(self._held_sets.system)}
+        self._disk.want(puts, "members", self._have_settled)
 
     def _have_settled(self) -> None:
         self._settled = True
@@ -341,7 +518,8 @@
             for who in self._others():
                 peer = self._peers.get(who)
                 if who not in self._settlers and peer:
-                    self._send(who, "found", members=list(self.everyone), life=peer.ping["life"])
+                    system = self._held_sets.system
+                    self._send(who, "found", members=list(self.everyone), life=peer.ping["life"], system=system)
         if self._settlers.issuperset(self._others()) and not self._attempt:
             self._propose(frozenset())
 
@@ -350,9 +528,7 @@
         if sender != self._seeds[0] or self.me not in members or sender not in members:
             return
         if self._fresh and not self.everyone and message["life"] == self._life:
-            self._fresh = False
-            self._became(members)
-            self._disk.want({"members": write_json(members)}, "members", self._have_settled)
+            self._settle(members, message.get("system", 0))
         elif self._settled and members == self.everyone:
             self._have_settled()
 
@@ -368,17 +544,18 @@
     def _forget(self) -> None:
         """It was founded before, when this member's disk was another: what it founds now must not come to be."""
         self._blank, self._settled = True, False
-        self._disk.want({"members": None}, "members", lambda: None)
+        self._disk.want({"members": None, "system": None}, "members", lambda: None)
 
     def _counts(self) -> bool:
         """Whether it may be one of a majority: not blank, nor a founder that has not found all others new."""
-        return not self._blank and self._settled and (self._promise > 0 or not self._is_founder())
+        founder = self._is_founder() and not self._promise
+        return self.counted and not self._blank and self._settled and not founder
 
     # being filled after the disk was lost
 
     def _ready(self) -> bool:
         """Whether enough others told what they promised: every majority that promised before has one among them."""
-        return self._blank and bool(self.everyone) and len(self._learnt) > len(self.everyone) - majority(self.everyone)
+        return self._blank and bool(self.everyone) and self.sets.blocks(self._learnt)
 
     def _floor(self) -> int:
         return max(self._learnt.values(), default=0)
@@ -418,6 +595,7 @@
         """Why a view is to be proposed ("": it is not), how long that must hold first, and who is to be left out."""
         nobody: frozenset[str] = frozenset()
         rank = self.everyone.index(self.me)
+        names = self.sets.names
         apart = rank * 50 * MS + self._chance.randrange(50 * MS)
         if not self._serving():
             if self._view.epoch > self._joined and self._hears_serving(HEARD):
@@ -433,6 +611,10 @@
             return "started", (LOST if self._view.epoch else SETTLE) + apart, nobody
         for who in self._held.chain:
             peer = self._peers.get(who)
+            if who not in names:  # it was taken out, and is in the chain of the change still
+                return "left", rank * 50 * MS, nobody
+            if who != self.me and peer and peer.ping.get("leaving") and self._can_do_without(who):
+                return "leaving", rank * 20 * MS, frozenset((who,))
             since = max(self._joined_at, peer.joined_at if peer and peer.joined == self._joined else 0)
             if who != self.me and self._now - since > SILENCE:
                 return "silent", rank * 80 * MS + self._chance.randrange(100 * MS), frozenset((who,))
@@ -442,10 +624,16 @@
             return "enter", self._place() * 250 * MS + self._chance.randrange(100 * MS), nobody
         return "", 0, nobody
 
+    def _can_do_without(self, leaver: str) -> bool:
+        """Whether the rest of the chain, as far as it is heard, is a majority."""
+        heard = self._peers.heard(self._now)
+        return self.sets.quorum([who for who in self._held.chain if who != leaver and (who == self.me or who in heard)])
+
     def _may_enter(self, who: str, peer: Peer) -> bool:
         return (
             who not in self._held.chain
             and peer.ping["well"]
+            and not peer.ping.get("leaving")
             and (not peer.ping["blank"] or peer.ping["ready"])
             and self._now - peer.since >= STEADY
             and self._shunned.get(who, 0) <= self._now
@@ -455,25 +643,61 @@
     def _consider(self) -> None:
         if self._blank or not self._settled or not self._promise or self._attempt or not self._disk.well(self._now):
             return
+        if not self.counted:
+            return
         if self._now < self._patience:
             return
         cause, delay, shunned = self._find_cause()
         due = self._now + delay
         self._due = due if cause != self._cause else min(self._due, due)
         self._cause = cause
-        mutual = sum(self._peers.mutual(self._now, self.me, who) for who in self.everyone)
-        if cause and self._now >= self._due and mutual >= majority(self.everyone):
+        mutual = [who for who in self.everyone if self._peers.mutual(self._now, self.me, who)]
+        if cause and self._now >= self._due and self.sets.quorum(mutual):
             self._propose(shunned)
 
+    # a change of the members
+
+    def _done(self, add: str, remove: str) -> bool:
+        members = self.sets.members
+        return bool(add or remove) and (not add or add in members) and (not remove or remove not in members)
+
+    def _of_an_earlier_revision(self) -> str:
+        for who in self._view.chain:
+            if who != self.me and (peer := self._peers.get(who)) and "number" not in peer.ping:
+                return who
+        return ""
+
+    def _go_on_changing(self) -> None:
+        if not self._change:
+            return
+        ask, until, add, remove = self._change
+        if self._done(add, remove) and self._proven[0] >= self._held.epoch:
+            self._out.append(Answer(ask, Code.OK, self.outlook("", "")._replace(why="").told()))
+        elif self._now >= until:
+            self._out.append(Answer(ask, Code.LATER, {"why": "not agreed in time; it may come to be"}))
+        elif self._attempt or not self._serving() or self._now < self._patience or not self._disk.well(self._now):
+            return
+        elif (look := self.outlook(add, remove)).why:
+            self._out.append(Answer(ask, Code.CLASH, look.told()))
+        else:
+            self._propose(frozenset(), self.sets.changed(add, remove), add)
+            return
+        self._change = None
+
     # agreeing on one
 
-    def _propose(self, shunned: frozenset[str]) -> None:
+    def _propose(self, shunned: frozenset[str], sets: Membership | None = None, add: str = "") -> None:
         self._cause = ""
-        highest = max(self._promise, self._peers.highest())
-        epoch = epoch_after(highest, self.everyone.index(self.me), self._chance)
+        highest = max(self._promise, self._peers.highest(), self._outside.highest())
+        epoch = epoch_after(highest, self.sets.rank(self.me), self._chance)
         self._shunned = {who: until for who, until in self._shunned.items() if until > self._now}
         self._shunned.update(dict.fromkeys(shunned, self._now + SHUN))
-        self._attempt = Attempt(epoch, self._now, frozenset(self._shunned))
+        leaving = [who for who, peer in self._peers.heard(self._now).items() if peer.ping.get("leaving")]
+        self._shunned.update(dict.fromkeys(leaving, self._now + SHUN))
+        known = max(self._held.epoch, self._proven[0])
+        self._attempt = Attempt(
+            epoch, self._now, frozenset(self._shunned), sets or self.sets, self.sets, known, bool(sets), add
+        )
         self._give_promise(epoch, self.me, (self._held.epoch, self._last))
 
     def _give_promise(self, epoch: int, to: str, theirs: Version) -> None:
@@ -485,8 +709,10 @@
         if self._promise == epoch > self._held.epoch:
             mine = self._held.epoch, self._last
             state = dict(self._state) if mine > theirs else None
+            known, proven = self._proven
             self._send(
-                to, "promise", epoch=epoch, blank=False, version=list(mine), state=state, hears=self._hearing()
+                to, "promise", epoch=epoch, blank=False, version=list(mine), state=state,
+                hears=self._hearing(), held=self._held_sets.told(), proven=[known, proven.told()],
             )
 
     def _on_prepare(self, sender: str, message: dict[str, Any]) -> None:
@@ -495,7 +721,7 @@
             if self._ready() and epoch > self._floor() and epoch >= self._promise:
                 hears = self._hearing()
                 self._send(sender, "promise", epoch=epoch, blank=True, version=[0, 0], state=None, hears=hears)
-        elif epoch > self._promise and self._counts():
+        elif epoch > self._promise and (self._counts() or self._settled and not self.counted):
             self._attempt = None
             self._patience = self._now + 700 * MS + self._chance.randrange(400 * MS)
             self._give_promise(epoch, sender, theirs)
@@ -513,10 +739,28 @@
         if attempt and attempt.epoch == message["epoch"] and not attempt.chain:
             hears = frozenset(message["hears"])
             promise = Promise(message["blank"], tuple(message["version"]), message["state"], hears)
+            self._weigh_sets(attempt, promise, message)
             if promise.blank or promise.state is not None or promise.version <= (self._held.epoch, self._last):
                 attempt.promises.setdefault(sender, promise)
                 self._pursue()
 
+    def _weigh_sets(self, attempt: Attempt, promise: Promise, message: dict[str, Any]) -> None:
+        """Whose majorities are needed: of the set of the newest view that any of them accepted, or knows active.
+
+        Every view that may have become active was accepted by a majority of the sets that are asked, so one of those
+        who promise tells of it; its sets take the place of those known here. A change that meets news is given up.
+        """
+        if not message.get("held") or not message.get("proven"):
+            return  # of an earlier revision, in which the set never changes
+        epoch, proven = message["proven"][0], membership.read(message["proven"][1])
+        held, held_sets = promise.version[0], membership.read(message["held"])
+        found, sets = (held, held_sets) if held > epoch and not promise.blank else (epoch, proven.settled())
+        if found < attempt.known or found == attempt.known and sets.old != sets.new:
+            return
+        attempt.known = found
+        if sets != attempt.before:  # as known when this was begun: what is known here may have moved on since
+            attempt.sets, attempt.before, attempt.change, attempt.add, attempt.sent = sets, sets, False, "", -(2**40)
+
     def _pursue(self) -> None:
         """Take an attempt as far as it goes now."""
         attempt = self._attempt
@@ -526,16 +770,16 @@
         elif not attempt.chain:
             if self._now - attempt.began >= COLLECT:
                 self._give_up()
-            elif attempt.promised() >= majority(self.everyone) and self._all_in(attempt):
+            elif attempt.sets.quorum(attempt.counting()) and self._all_in(attempt):
                 self._set_out(attempt)
             elif self._now - attempt.sent >= ASK_AGAIN:
                 attempt.sent = self._now
-                for who in self._others():
-                    if who not in attempt.promises:
+                for who in attempt.sets.names:
+                    if who != self.me and who not in attempt.promises:
                         self._send(who, "prepare", epoch=attempt.epoch, version=[self._held.epoch, self._last])
         elif attempt.accepted.issuperset(attempt.chain):
             self._attempt = None
-            self._know(View(attempt.epoch, attempt.chain))
+            self._know(View(attempt.epoch, attempt.chain), attempt.sets)
             self._ping_all()
         elif self._now - attempt.began >= COLLECT + ACCEPT:
             for who in attempt.chain:
@@ -553,6 +797,8 @@
         """Whether all have promised that may be expected to, or have been waited for."""
         if self._now - attempt.began >= GATHER:
             return True
+        if attempt.add and attempt.add not in attempt.promises:
+            return False
         return all(
             who in attempt.promises or not peer.ping["well"] or peer.ping["blank"] and not peer.ping["ready"]
             for who, peer in self._peers.heard(self._now).items()
@@ -561,16 +807,23 @@
 
     def _set_out(self, attempt: Attempt) -> None:
         """Enough have promised: decide on the chain and its state."""
-        first = [self.me, *self._view.chain, *self.everyone]
+        first = [self.me, *self._view.chain, *attempt.sets.names]
         order = [who for who in dict.fromkeys(first) if who in attempt.promises]
-        chosen = choose_chain(order, attempt.shunned, majority(self.everyone), attempt.mutual)
+        sets = attempt.sets
+        staying = [who for who in order if who in sets.members]
+        chosen = choose_chain(staying, attempt.shunned, sets.quorum, attempt.mutual)
+        if not sets.quorum(chosen) and not attempt.change:
+            chosen = choose_chain(order, attempt.shunned, sets.quorum, attempt.mutual)
+        if not sets.quorum(chosen) or attempt.add and attempt.add not in chosen:
+            self._give_up()
+            return
         for who, peer in self._peers.heard(self._now).items():
             if who not in attempt.promises and peer.ping["well"] and not peer.ping["blank"]:
                 self._shunned[who] = self._now + SHUN
         newest = attempt.newest()
         attempt.base = newest.version
         attempt.state = dict(self._state) if newest.state is None else newest.state
-        attempt.chain = tuple(who for who in self.everyone if who in chosen)
+        attempt.chain = tuple(who for who in sets.names if who in chosen)
         self._send_view(attempt, whole=False)
 
     def _send_view(self, attempt: Attempt, whole: bool) -> None:
@@ -584,7 +837,8 @@
                     "newview",
                     epoch=attempt.epoch,
                     chain=list(attempt.chain),
-                    members=list(self.everyone),
+                    members=list(attempt.sets.names),
+                    sets=attempt.sets.told(),
                     base=list(attempt.base),
                     state=None if same else attempt.state,
                 )
@@ -601,29 +855,33 @@
             return
         if self._blank and not self._ready() or not self._blank and not self._settled:
             return
-        if epoch <= self._held.epoch or tuple(message["members"]) != self.everyone or self.me not in chain:
+        sets = membership.read(message["sets"]) if message.get("sets") else self.sets
+        if epoch <= self._held.epoch or tuple(message["members"]) != sets.names or self.me not in chain:
             return
-        if not set(chain) <= set(self.everyone) or len(chain) < majority(self.everyone):
+        if not set(chain) <= set(sets.names) or not sets.quorum(chain) or sets.system != self._proven[1].system:
             return
         if state is None:
             if self._blank or tuple(message["base"]) != (self._held.epoch, self._last):
                 return
             state = self._state
-        self._join(sender, View(epoch, chain), state)
+        self._join(sender, View(epoch, chain), sets, state)
 
-    def _join(self, sender: str, view: View, state: Mapping[str, Any]) -> None:
+    def _join(self, sender: str, view: View, sets: Membership, state: Mapping[str, Any]) -> None:
         puts: dict[str, bytes | None] = {f"state/{key}": None for key in self._state if key not in state}
         for key, value in state.items():
             if key not in self._state or self._state[key] != value:
                 puts[f"state/{key}"] = write_json(value)
         puts["promise"] = write_json(view.epoch)
         puts["view"] = write_json(view)
-        puts["members"] = write_json(self.everyone)
         puts["version"] = write_json((view.epoch, 0))
         if self._attempt and self._attempt.epoch < view.epoch:
             self._attempt = None
         self._promise = self._joined = view.epoch
         self._held, self._state, self._last = view, dict(state), 0
+        if sets != self._held_sets:
+            self._held_sets = sets
+        self._became()
+        puts |= self._sets_puts()
         self._joined_at, self._cause = self._now, ""
         self._pending.clear()
         self._sent = self._acked = self._synced = 0
@@ -644,10 +902,18 @@
             attempt.accepted.add(sender)
             self._pursue()
 
-    def _know(self, view: View) -> None:
+    def _know(self, view: View, sets: Membership) -> None:
         """That view is active: all of its chain have accepted it."""
-        if view.epoch <= self._view.epoch or not view.chain or not set(view.chain) <= set(self.everyone):
+        if view.epoch == self._held.epoch:
+            sets = self._held_sets
+        if view.epoch <= self._view.epoch or not view.chain or not set(view.chain) <= set(sets.names):
             return
+        if view.epoch > self._proven[0]:
+            changed = sets.number != self._proven[1].number
+            self._proven = view.epoch, sets
+            if changed:
+                self._keep_sets()
+            self._became()
         self._view = view
         self._fetched = self._now - FETCH
         if self._joined == view.epoch and self.version < (view.epoch, 0):
@@ -735,7 +1001,7 @@
     def _on_append(self, sender: str, message: dict[str, Any]) -> None:
         if not self._joined or message["epoch"] != self._joined or sender != self._neighbour(-1):
             return
-        self._know(self._held)  # a head takes nothing before
+        self._know(self._held, self._held_sets)  # a head takes nothing before
         self._commit(message["committed"])
         new = message["entries"][max(0, self._last + 1 - message["first"]) :]
         if new and message["first"] <= self._last + 1 and self._promise == self._joined:
@@ -844,7 +1110,7 @@
 
     def _conclude(self) -> None:
         """Answer the readers that came before a majority told that no later epoch was promised."""
-        if not self._confirming or not self._serving() or len(self._confirming[1]) < majority(self.everyone):
+        if not self._confirming or not self._serving() or not self.sets.quorum(self._confirming[1]):
             return
         asked, self._confirming = self._confirming[0], None
         for key in sorted(asked & set(self._readers)):
@@ -872,13 +1138,13 @@
         if version <= self.version:
             return
         if version[0] == self._joined and self._held.epoch == self._joined:
-            self._know(self._held)
+            self._know(self._held, self._held_sets)
             self._commit(version[1])
         if version > self.version and version[0] != self._joined:
             self.committed, self.version = dict(state), version
 
     def _catch_up(self) -> None:
-        if self._serving() or self._blank or self._now - self._fetched < FETCH:
+        if self._serving() or self._blank and self.counted or self._now - self._fetched < FETCH:
             return
         ahead = [
             who
--- a/umbermoor/gateway/barograph/peers.py
+++ b/umbermoor/gateway/barograph/peers.py
@@ -30,13 +30,14 @@
 @dataclass(slots=True)
 class Peers:
     me: str
+    most: int = 2 * MOST
     _all: dict[str, Peer] = field(default_factory=dict)
 
     def hear(self, now: int, sender: str, ping: dict[str, Any]) -> bool:
         """Take a ping in, an older one than the last not; whether the sender is new, or newly started."""
         peer = self._all.get(sender)
         if peer is None:
-            if len(self._all) >= 2 * MOST:
+            if len(self._all) >= self.most and not self._forgot(now):
                 return False
             peer = self._all[sender] = Peer(now, now, ping)
             new = True
@@ -52,6 +53,17 @@
             peer.joined, peer.joined_at = ping["joined"], now
         return new
 
+    def _forgot(self, now: int) -> bool:
+        """Whether one that is silent could be forgotten for another."""
+        silent = next((who for who, peer in self._all.items() if now - peer.last > SILENT), None)
+        return silent is not None and self._all.pop(silent) is not None
+
+    def adopt(self, who: str, peer: Peer) -> None:
+        self._all.setdefault(who, peer)
+
+    def drop(self, names: tuple[str, ...]) -> None:
+        self._all = {who: peer for who, peer in self._all.items() if who not in names}
+
     def keep(self, members: tuple[str, ...]) -> None:
         """Forget all others."""
         self._all = {who: peer for who, peer in self._all.items() if who in members}
--- a/umbermoor/gateway/barograph/view.py
+++ b/umbermoor/gateway/barograph/view.py
@@ -8,9 +8,10 @@
 
 import random
 from dataclasses import dataclass, field
-from typing import Any, Callable, Iterable, Mapping, NamedTuple, Sequence
+from typing import Any, Callable, Collection, Iterable, Mapping, NamedTuple
+
+from umbermoor.gateway.barograph.membership import MOST, Membership
 
-MOST = 64  # members
 STEP = 256 * MOST
 
 Version = tuple[int, int]  # epoch, seq
@@ -24,10 +25,6 @@
 NO_VIEW = View(0, ())
 
 
-def majority(members: Sequence[str]) -> int:
-    return len(members) // 2 + 1
-
-
 def epoch_after(epoch: int, rank: int, chance: random.Random) -> int:
     """An epoch above `epoch` that no other member proposes, nor this one again if its disk is lost meanwhile.
 
@@ -38,15 +35,17 @@
 
 
 def choose_chain(
-    order: Iterable[str], shunned: Iterable[str], least: int, mutual: Callable[[str, str], bool]
+    order: Iterable[str], shunned: Iterable[str], enough: Callable[[Collection[str]], bool],
+    mutual: Callable[[str, str], bool]
 ) -> tuple[str, ...]:
-    """Of those in `order`, as many as all hear each other, the first ones preferred; all, if that leaves too few.
+    """Of those in `order`, as many as all hear each other, the first ones preferred; all, if that is not enough.
 
-    >>> choose_chain("abc", "", 2, lambda one, other: {one, other} != {"a", "b"})
+    >>> two = lambda chosen: len(chosen) >= 2
+    >>> choose_chain("abc", "", two, lambda one, other: {one, other} != {"a", "b"})
     ('a', 'c')
-    >>> choose_chain("abc", "c", 2, lambda one, other: True)
+    >>> choose_chain("abc", "c", two, lambda one, other: True)
     ('a', 'b')
-    >>> choose_chain("ab", "b", 2, lambda one, other: True)
+    >>> choose_chain("ab", "b", two, lambda one, other: True)
     ('a', 'b')
     """
     order = tuple(order)
@@ -54,7 +53,7 @@
     for one in order:
         if one not in shunned and all(mutual(one, other) for other in chosen):
             chosen.append(one)
-    return tuple(chosen) if len(chosen) >= least else order
+    return tuple(chosen) if enough(chosen) else order
 
 
 class Promise(NamedTuple):
@@ -71,6 +70,11 @@
     epoch: int
     began: int
     shunned: frozenset[str]
+    sets: Membership  # majorities of whom are needed, and what the view will carry
+    before: Membership  # the set of the newest view known, of the epoch `known`
+    known: int
+    change: bool = False  # it is to change that set
+    add: str = ""  # that is to be in the chain
     promises: dict[str, Promise] = field(default_factory=dict)
     sent: int = -(2**40)  # when those were last asked who have not replied
     chain: tuple[str, ...] = ()  # () as long as promises are collected
@@ -78,14 +82,13 @@
     state: Mapping[str, Any] = field(default_factory=dict)
     accepted: set[str] = field(default_factory=set)
 
-    def promised(self) -> int:
-        """How many that count have promised."""
-        return sum(not promise.blank for promise in self.promises.values())
+    def counting(self) -> list[str]:
+        """Who has promised and counts: neither blank nor a learner."""
+        return [who for who, promise in self.promises.items() if not promise.blank and who in self.sets.names]
 
     def mutual(self, one: str, other: str) -> bool:
         return other in self.promises[one].hears and one in self.promises[other].hears
 
     def newest(self) -> Promise:
         """Whose state is to be taken."""
-        counting = (promise for promise in self.promises.values() if not promise.blank)
-        return max(counting, key=lambda promise: promise.version)
+        return max((self.promises[who] for who in self.counting()), key=lambda promise: promise.version)
--- a/umbermoor/gateway/barograph/words.py
+++ b/umbermoor/gateway/barograph/words.py
@@ -62,6 +62,28 @@
     return type(value) is list and all(map(entry, value))
 
 
+def seats(value: Any) -> bool:
+    """[[name, rank], ...]"""
+    return (
+        type(value) is list and 0 < len(value) <= 64
+        and all(type(seat) is list and len(seat) == 2 and name(seat[0]) and number(seat[1]) for seat in value)
+        and len({seat[0] for seat in value}) == len(value)
+    )
+
+
+def sets(value: Any) -> bool:
+    """[system, number, old, new]; null: none."""
+    return value is None or (
+        type(value) is list and len(value) == 4 and all(map(number, value[:2])) and all(map(seats, value[2:]))
+    )
+
+
+def proven(value: Any) -> bool:
+    """[epoch, sets]"""
+    return value is None or type(value) is list and len(value) == 2 and number(value[0]) and sets(value[1]) and bool(
+        value[1])
+
+
 ASK = {"life": number, "id": number}
 SHAPES: Mapping[str, Mapping[str, Check]] = {
     "ping": {
@@ -102,9 +124,24 @@
 }
 
 
+LATER: Mapping[str, Mapping[str, Check]] = {  # fields that an earlier revision does not send
+    "ping": {
+        "number": number,  # of the latest set known to be in force
+        "system": number,  # 0: none yet; not told to a member that has its disk
+        "leaving": flag,  # it is about to end, in order
+        "sets": proven,  # that set, for one that does not know it
+    },
+    "found": {"system": number},
+    "promise": {"held": sets, "proven": proven},
+    "newview": {"sets": sets},
+}
+
+
 def shaped(message: Any) -> bool:
     """Whether it is a message that a member may have sent; more fields than are known do not harm."""
     if type(message) is not dict or type(message.get("kind")) is not str:
         return False
     shape = SHAPES.get(message["kind"])
-    return shape is not None and all(key in message and check(message[key]) for key, check in shape.items())
+    if shape is None or not all(key in message and check(message[key]) for key, check in shape.items()):
+        return False
+    return all(check(message[key]) for key, check in LATER.get(message["kind"], {}).items() if key in message)
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -9,6 +9,7 @@
 PAUSE = 150_000  # us: after a pull that failed
 GAP = 60_000  # us: between a pull's answer and the next pull, so that changes come together
 FORGET = KEPT + 20_000_000  # us: a machine that has not been ready for so long is dropped
+ANEW = 10_000_000  # us: without word of a majority for so long, an older set of members is followed too: a system anew
 AGAIN = 700_000  # us: until another member is asked for the body of a configuration
 
 
@@ -36,7 +37,7 @@
     """Pulls from every known member. `everyone`: the core's members as last told; at first the seeds."""
 
     def __init__(self, seeds: Sequence[str], me: str = "") -> None:
-        self.me, self.told = me, False
+        self.me, self.told, self.set = me, False, 0  # `set`: number of the members' set that `everyone` is
         self.sources = {seed: Source() for seed in seeds if seed != me}
         self.everyone: tuple[str, ...] = tuple(seeds)
         self.machines: dict[str, Entry] = {}
@@ -83,13 +84,15 @@
             version = (int(message["register"][0]), int(message["register"][1]))
             keys, members, firm = dict(message["keys"]), [str(one) for one in message["everyone"]], message["firm"]
             offered, head = int(message["revision"]), str(message["head"])
+            number_of_set = int(message.get("set", 0))
         except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             return None
         source.asked, source.life, source.number = None, life, number
         source.next = now + GAP
         if firm is True:
             source.firm = now
-        if members and firm is True:
+        if members and firm is True and (number_of_set >= self.set or not self.firm_since(now - ANEW)):
+            self.set = number_of_set
             self.members(members)
         changed = merged(filter(None, map(entry_of, entries if isinstance(entries, list) else [])), self.machines)
         for entry in changed:
--- a/umbermoor/gateway/logbook/command.py
+++ b/umbermoor/gateway/logbook/command.py
@@ -42,7 +42,8 @@
 check = App(name="check", help="Says what is wrong with a file first, or that it is sound.")
 configuration = App(name="configuration", help="The configuration in force.")
 rollout = App(name="rollout", help="Moves a service to another version of its machines.")
-for part in (check, configuration, rollout):
+member = App(name="member", help="The core's members: who counts in a majority, and changes of that.")
+for part in (check, configuration, rollout, member):
     app.command(part)
 
 
@@ -268,6 +269,80 @@
     return Exit.DONE if any(isinstance(held, dict) for held in found.values()) else Exit.NOBODY
 
 
+DryRun = Annotated[bool, Parameter(
+    name="--dry-run", negative=(), help="Only says what the change would leave, or why it would be refused.")]
+
+
+@member.command(name="list")
+def member_list(*, at: At, within_s: Within = 5.0) -> int:
+    """The set of members in force, then a line for each member and each learner.
+
+    thin: fewer losses can be borne now than the settings ask. Exit status 1 then, so that a script may wait for 0.
+    """
+    told = Caller(at, within_s).call("GET", "/Members")
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    held = _table(told.body) or {}
+    thin, chain = bool(held.get("thin")), held.get("chain") or ()
+    _say(f"set={held.get('set')} members={len(held.get('members') or ())} bear={held.get('bear')} "
+         f"thin={str(thin).lower()} connected={str(held.get('connected')).lower()}")
+    for name in held.get("members") or ():
+        _say(f"{name} member {'in the chain' if name in chain else 'out of the chain'}")
+    for name, ready in sorted((held.get("learners") or {}).items()):
+        _say(f"{name} learner {'ready' if ready else 'not ready'}")
+    return Exit.REFUSED if thin else Exit.DONE
+
+
+def _change(at: Iterable[str], within_s: float, add: str, remove: str, dry: bool) -> int:
+    body = json.dumps({"add": add, "remove": remove, "dry": dry}).encode()
+    told = Caller(tuple(at), within_s).call("POST", "/Members.Change", body)
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    held = _table(told.body) or {}
+    members, up = held.get("members") or (), held.get("up") or ()
+    _say(f"{'would be' if dry else 'in force:'} set={held.get('number')} members={','.join(members)} "
+         f"up={len(up)} of {len(members)} bears={held.get('bears')}")
+    return Exit.DONE
+
+
+@member.command(name="add")
+def member_add(new: str, *, at: At, dry_run: DryRun = False, within_s: Within = 10.0) -> int:
+    """Takes a learner into the set.
+
+    Parameters
+    ----------
+    new
+        Its IP address; `member list` shows it as ready.
+    """
+    return _change(at, within_s, new, "", dry_run)
+
+
+@member.command(name="remove")
+def member_remove(old: str, *, at: At, dry_run: DryRun = False, within_s: Within = 10.0) -> int:
+    """Takes a member out of the set; it may be stopped after that.
+
+    Parameters
+    ----------
+    old
+        Its IP address.
+    """
+    return _change(at, within_s, "", old, dry_run)
+
+
+@member.command(name="replace")
+def member_replace(old: str, new: str, *, at: At, dry_run: DryRun = False, within_s: Within = 10.0) -> int:
+    """Puts a learner in the place of a member, in one change.
+
+    Parameters
+    ----------
+    old
+        The member's IP address; it may be down, or lost for good.
+    new
+        The learner's.
+    """
+    return _change(at, within_s, new, old, dry_run)
+
+
 @app.command(name="machines")
 def machines(*, at: At, service: str | None = None, within_s: Within = 5.0) -> int:
     """A line for each machine that a member knows: id, service, address, zone, version, state, seconds since heard.
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -30,6 +30,8 @@
 FRONTS = 6  # other fronts named in an answer: enough to meet the rest by
 BATCH = 0.01  # s: changes that come together are told together
 HEARD = 0.7  # s: for a majority to note what may not be lost
+HANDS_OVER = 2.0  # s: how long a member that is told to end waits at most until the chain goes on without it
+CHANGE = 4.5  # s: a change of the members is answered by then
 LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
 STATUS = {Code.OK: 200, Code.LATER: 503, Code.CLASH: 409, Code.WRONG: 422, Code.UNKNOWN: 404}
 CONFIG, MACHINES = "config", "machines"
@@ -61,6 +63,7 @@
         self.heards: dict[int, tuple[set[str], asyncio.Event]] = {}
         self.number = 0
         self.telling = False
+        self.leaving = 0  # until when it hands over, once it is told to end
         self.body: tuple[int, bytes] = (0, b"")  # the frame of a configuration
         self.over = asyncio.Event()
 
@@ -175,14 +178,42 @@
                      "heardS": round((now - registry.heard(one.id)) / SECOND, 3)}
             for one in registry.entries.values()}})
 
-    async def ask(self, put: Any) -> Answer:
+    @call("GET", "/Members")
+    async def members(self, ask: Call) -> Reply:
+        """Who counts, who is in the chain, who could be taken in."""
+        member, story = self.member, self.member.story()
+        return reply(200, {"set": story["set"], "members": story["members"], "chain": story["chain"],
+                           "learners": {name: name in member.learners() for name in story["learners"]},
+                           "thin": story["thin"], "bear": self.papers.bear_machines, "connected": member.connected})
+
+    @call("POST", "/Members.Change")
+    async def change(self, ask: Call) -> Reply:
+        """One more member (`add`), one fewer (`remove`), or one in the place of another; `dry`: only says what that
+        would leave."""
+        try:
+            body = ask.json()
+            add, remove, dry = body.get("add", ""), body.get("remove", ""), body.get("dry", False)
+        except (ValueError, RecursionError, AttributeError) as error:
+            return wrong(400, f"a change of the members is JSON with add, remove, dry: {error}")
+        if not (isinstance(add, str) and isinstance(remove, str) and isinstance(dry, bool)
+                and len(add) <= 64 and len(remove) <= 64 and (add or remove)):
+            return wrong(400, "add, remove: IP addresses, one at least; dry: true or false")
+        answer = await self.ask(lambda now, number: self.member.change(now, number, add, remove, dry), CHANGE)
+        told = answer.value or {}
+        event("members", add=add or "none", remove=remove or "none", dry=dry, code=answer.code.value,
+              set=told.get("number", ""), why=told.get("why", ""))
+        if answer.code is Code.LATER:
+            return LATER
+        return reply(STATUS[answer.code], {**told, "error": told["why"]} if told.get("why") else told)
+
+    async def ask(self, put: Any, within: float = 0.9) -> Answer:
         """Passes a call to the chain and waits for its end."""
         self.number += 1
         number, future = self.number, asyncio.get_running_loop().create_future()
         self.asks[number] = future
         try:
             self.carry(put(self.now(), number))
-            async with asyncio.timeout(0.9):
+            async with asyncio.timeout(within):
                 return await future
         except TimeoutError:
             return Answer(number, Code.LATER)
@@ -208,7 +239,7 @@
             del self.heards[number]
 
     def enough(self, number: int) -> bool:
-        return 2 * len(self.heards[number][0]) > max(1, len(self.member.everyone))
+        return self.member.sets.quorum(self.heards[number][0])
 
     # Messages
 
@@ -311,7 +342,8 @@
             line.send(frame({
                 "kind": "news", "life": registry.life, "number": registry.number, "machines": registry.after(known),
                 "register": list(member.version), "keys": keys if pull["register"] != list(member.version) else {},
-                "everyone": list(member.everyone), "head": self.head(), "firm": member.connected, "revision": revision,
+                "everyone": list(member.sets.members), "set": member.sets.number, "head": self.head(),
+                "firm": member.connected, "revision": revision,
                 "fronts": fronts}))
             if pull.get("want") and revision > pull["revision"]:
                 if self.body[0] != revision:
@@ -325,7 +357,7 @@
         from hypercorn.config import Config
         loop = asyncio.get_running_loop()
         watch(loop)
-        loop.add_signal_handler(signal.SIGTERM, self.over.set)
+        loop.add_signal_handler(signal.SIGTERM, self.leave)
         loop.add_signal_handler(signal.SIGHUP, lambda: event("sighup"))
         await self.post.listen()
         config = Config()
@@ -344,12 +376,24 @@
         ticking.cancel()
         event("end")
 
+    def leave(self) -> None:
+        """Told to end: the chain goes on without this member first, if the others can. The set stays as it is."""
+        if not self.leaving:
+            self.leaving = self.now() + round(min(HANDS_OVER, self.papers.margin_us("graceS", 6.0) / 3e6) * SECOND)
+            self.carry(self.member.leave(self.now()))
+
+    def hand_over(self, now: int) -> None:
+        if self.leaving and not self.over.is_set() and (self.member.left or now >= self.leaving):
+            event("left", handed_over=self.member.left, epoch=self.member.story()["epoch"])
+            self.over.set()
+
     async def ticks(self) -> None:
         shown = None
+        thin = None
         while True:
             now = self.now()
             self.carry(self.member.tick(now))
-            self.pulls.everyone = self.member.everyone
+            self.pulls.everyone = self.member.sets.members
             if self.member.connected and self.head() == self.papers.ip:
                 for service, record in self.steps.tick(now):
                     self.number += 1
@@ -357,13 +401,17 @@
             self.registry.tick(now, self.member.connected)
             self.save(now)
             self.pulls.forget(now)
-            if any(name != self.papers.ip and name not in self.pulls.sources for name in self.member.everyone):
+            if self.member.counted and {*self.pulls.sources, self.papers.ip} != {*self.member.everyone}:
                 self.pulls.members(self.member.everyone)
             for name in self.pulls.due(now):
                 self.post.send(name, self.pulls.pull(now, name))
             if any(now >= until for until, _ in self.teller.waiting.values()):
                 self.tell_soon()
+            self.hand_over(now)
             story = self.member.story()
+            if (story["set"], story["thin"]) != thin:
+                thin = story["set"], story["thin"]
+                event("set", number=story["set"], members=",".join(story["members"]) or "none", thin=story["thin"])
             view = story.get("epoch"), story.get("chain"), story.get("role"), self.member.connected
             if view != shown:
                 shown = view
