--- a/umbermoor/gateway/barograph/contact.py
+++ b/umbermoor/gateway/barograph/contact.py
@@ -10,7 +10,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Any, Iterable
+from typing import Any, Callable, Collection, Iterable
 
 LEASE = 900_000  # so long after it was sent, a ping that was answered proves contact
 GAP = 500_000  # a longer time between two inputs: frozen, or starved of its processor
@@ -27,7 +27,7 @@
     >>> contact.sent(1000, 1)
     >>> contact.heard(200_000, "b", {"echo": [7, 1], "promise": 5, "blank": False}, 7)
     >>> contact.proven(200_000, 5, "bc"), contact.proven(200_000, 4, "bc"), contact.proven(902_000, 5, "bc")
-    (1, 0, 0)
+    (frozenset({'b'}), frozenset(), frozenset())
     """
 
     _sent: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=SENT))  # beat, when
@@ -47,10 +47,10 @@
         if at is not None:
             self._proofs[who] = at, -1 if ping["blank"] else ping["promise"]
 
-    def proven(self, now: int, epoch: int, others: Iterable[str]) -> int:
-        """How many of the others proved within the lease that they promised nothing above `epoch`."""
-        proofs = (self._proofs.get(who, (now - LEASE, -1)) for who in others)
-        return sum(now - at < LEASE and 0 < promise <= epoch for at, promise in proofs)
+    def proven(self, now: int, epoch: int, others: Iterable[str]) -> frozenset[str]:
+        """Which of the others proved within the lease that they promised nothing above `epoch`."""
+        proofs = ((who, *self._proofs.get(who, (now - LEASE, -1))) for who in others)
+        return frozenset(who for who, at, promise in proofs if now - at < LEASE and 0 < promise <= epoch)
 
     def void(self) -> None:
         """Nothing from before counts any more, nor an answer to a ping from before."""
@@ -94,9 +94,9 @@
         self._heard.add(sender)
         return True
 
-    def end(self, least: int) -> list[tuple[Key, Any]]:
-        """What may be told, as so many of the others answered; nothing if fewer did."""
-        if self._asked is None or len(self._heard) < least:
+    def end(self, quorum: Callable[[Collection[str]], bool]) -> list[tuple[Key, Any]]:
+        """What may be told, as enough of the others answered; nothing if fewer did."""
+        if self._asked is None or not quorum(self._heard):
             return []
         asked, self._asked = self._asked, None
         return [(key, self._open.pop(key)[1]) for key in sorted(asked) if key in self._open]
