--- a/umbermoor/gateway/barograph/words.py
+++ b/umbermoor/gateway/barograph/words.py
@@ -77,6 +77,28 @@
     return type(value) is str and len(value) <= 400
 
 
+def seats(value: Any) -> bool:
+    """[[name, rank], ...]"""
+    return (
+        type(value) is list and 0 < len(value) <= 64
+        and all(type(seat) is list and len(seat) == 2 and name(seat[0]) and number(seat[1]) for seat in value)
+        and len({seat[0] for seat in value}) == len(value)
+    )
+
+
+def sets(value: Any) -> bool:
+    """[system, number, old, new]; null: none."""
+    return value is None or (
+        type(value) is list and len(value) == 4 and all(map(number, value[:2])) and all(map(seats, value[2:]))
+    )
+
+
+def proven(value: Any) -> bool:
+    """[epoch, sets]"""
+    return value is None or type(value) is list and len(value) == 2 and number(value[0]) and sets(value[1]) and bool(
+        value[1])
+
+
 ASK = {"life": number, "id": number}
 OUTCOMES = frozenset(one.value for one in Outcome)
 SHAPES: Mapping[str, Mapping[str, Check]] = {
@@ -118,7 +140,16 @@
 }
 # Fields that members of an earlier revision do not send.
 MAYBE: Mapping[str, Mapping[str, Check]] = {
-    "ping": {"echo": echo},
+    "ping": {
+        "echo": echo,
+        "number": number,  # of the latest set known to be in force
+        "system": number,  # 0: none yet; not told to a member that has its disk
+        "leaving": flag,  # it is about to end, in order
+        "sets": proven,  # that set, for one that does not know it
+    },
+    "found": {"system": number},
+    "promise": {"held": sets, "proven": proven},
+    "newview": {"sets": sets},
     "done": {"outcome": outcome, "why": line},
 }
 
