--- a/benchmarks/change_bytes.py
+++ b/benchmarks/change_bytes.py
@@ -40,7 +40,7 @@
     figures: list[list[float]] = []
     held = configuration(routes, 1)
     for told in one.send("b", append(held, 1)):
-        other.receive("a", ("a",), told)
+        other.receive("a", True, told)
     for number in range(2, plays + 2):
         text = configuration(routes, number, number % routes)
         began = time.process_time()
@@ -48,7 +48,7 @@
         between = time.process_time()
         (told,) = one.send("b", append(text, number))
         short, came = wire(told)
-        body, _ = other.receive("a", ("a",), came)
+        body, _ = other.receive("a", True, came)
         ended = time.process_time()
         assert body == append(text, number)
         front_began = time.process_time()
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -294,6 +294,10 @@
         self._at(now)
         return self.connected
 
+    def listens(self, sender: str) -> bool:
+        """Whether what that one says of the chain is taken at all."""
+        return self._listens(sender, "append")
+
     def held(self, key: str) -> Any:
         """What stands under it here, committed or not; None if nothing does."""
         return self._state.get(key)
--- a/umbermoor/gateway/heliograph/deltas.py
+++ b/umbermoor/gateway/heliograph/deltas.py
@@ -7,7 +7,7 @@
 import base64
 from collections import OrderedDict
 from hashlib import blake2b
-from typing import Any, Collection, Iterable
+from typing import Any, Iterable
 
 import zstandard
 
@@ -228,12 +228,13 @@
         return [*frames, {"kind": "chain", "body": body}]
 
     def receive(
-        self, sender: str, members: Collection[str], frame: dict[str, Any]
+        self, sender: str, known: bool, frame: dict[str, Any]
     ) -> tuple[dict[str, Any] | None, list[dict[str, Any]]]:
         """The message that it carries, if any, and frames to send back. What stands on a text that is not held here is
-        dropped as if it was lost on the way; its sender, told so, says it whole when it says it again."""
+        dropped as if it was lost on the way; its sender, told so, says it whole when it says it again. `known`: the
+        sender is one that the member listens to; of others nothing is unpacked."""
         if frame.get("kind") == "holds":
-            if sender not in members or not isinstance(frame.get("texts"), list):
+            if not known or not isinstance(frame.get("texts"), list):
                 return None, []
             self.packer.told(sender, frame["texts"])
             return None, [self._holds(ask=False)] if frame.get("ask") is True else []
@@ -242,7 +243,7 @@
             return None, []
         if body["kind"] not in BULKY:
             return body, []
-        if sender not in members:
+        if not known:
             return None, []
         try:
             return self.packer.unpack(sender, body), []
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -300,7 +300,7 @@
                 except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
                     event("garbled", what="report", source=line.peer, why=error)
         elif kind in ("chain", "holds"):
-            body, frames = self.carrier.receive(line.peer, self.member.everyone, message)
+            body, frames = self.carrier.receive(line.peer, self.member.listens(line.peer), message)
             for one in frames:
                 self.post.send(line.peer, one)
             if body is not None:
