--- a/tests/gateway/features/catching_up.feature
+++ b/tests/gateway/features/catching_up.feature
@@ -55,3 +55,24 @@
     Then the next one is in force in the front
     When the front is told one by what it changes against another base
     Then the front asks for the whole, and takes it
+
+  Scenario Outline: A configuration's news comes from one member at once, what presses from all
+    Given a front that pulls from 5 members, of which <silent> do not answer
+    When the members learn of <what>
+    Then the front hears it first within <ms> ms, and within 300 ms from <count> members
+    And the front hears it from all members that answer within 1000 ms or needs it no more
+
+    Examples:
+      | silent | what            | ms   | count |
+      | 0      | a configuration | 70   | 1     |
+      | 2      | a configuration | 70   | 1     |
+      | 0      | a roll-out      | 70   | 5     |
+      | 2      | a roll-out      | 70   | 3     |
+
+  Scenario: A configuration's news does not hang on the member that is to tell it first
+    Given a front that pulls from 5 members, of which 0 do not answer
+    When the members learn of a configuration, but for the one that the front asks first
+    Then the front hears it first within 1000 ms, and within 1000 ms from 4 members
+
+  Scenario: Members do not tell one another of configurations, the chain does
+    Then a member's own pull is not answered for a configuration before its time
--- a/tests/gateway/features/steps/catching_up_steps.py
+++ b/tests/gateway/features/steps/catching_up_steps.py
@@ -11,6 +11,7 @@
 from umbermoor.gateway.almanac.papers import papers_from
 from umbermoor.gateway.barograph.disk import Disk
 from umbermoor.gateway.heliograph.deltas import LONG, MARK, Carrier, Lack, Packer, Texts, applied, delta, digest_of
+from umbermoor.gateway.heliograph.reader import HOLD, LOST, Reader, Teller
 from umbermoor.gateway.mast.front import Front
 
 SETTINGS = """
@@ -218,3 +219,82 @@
     assert pull["want"] and "base" not in pull
     context.front.configured({"kind": "body", "text": configuration(40, 3)})
     assert context.front.routes.revision == 3 and wanted(context)["base"] == digest_of(context.front.text)
+
+
+class Told:
+    """A front's reader and members that tell, in steps of 10 ms; the network takes no time."""
+
+    def __init__(self, members: int, silent: int) -> None:
+        self.names = [f"m{n}" for n in range(members)]
+        self.reader, self.now = Reader(self.names), 0
+        self.tellers = {name: Teller() for name in self.names}
+        first = self.reader._first()
+        self.silent = {first, *[name for name in self.names if name != first][: silent - 1]} if silent else set()
+        self.version, self.pressing, self.revision = (1, 0), (1, 0), 1
+        self.ignorant: set[str] = set()
+        self.heard: list[tuple[int, str, tuple[int, int]]] = []
+        self.reader.revision = 1
+        self.run(2 * LOST)
+
+    def run(self, span: int) -> None:
+        for _ in range(span // 10_000):
+            self.now += 10_000
+            for name in self.reader.due(self.now):
+                pull = json.loads(json.dumps(self.reader.pull(self.now, name)))
+                if name not in self.silent:
+                    self.tellers[name].pull(self.now, name, pull)
+            for name, teller in self.tellers.items():
+                known = ((1, 0), (1, 0), 1) if name in self.ignorant else (self.version, self.pressing, self.revision)
+                for _, _ in teller.due(self.now, 7, 0, known[0], known[2], known[1]):
+                    self.heard.append((self.now, name, known[0]))
+                    self.reader.news(self.now, name, {
+                        "life": 7, "number": 0, "machines": [], "register": list(known[0]), "keys": {},
+                        "everyone": self.names, "firm": True, "revision": known[2], "head": "m0", "fronts": []})
+                    self.reader.revision = max(self.reader.revision, known[2])
+
+
+@given("a front that pulls from {members:d} members, of which {silent:d} do not answer")
+def _(context: Any, members: int, silent: int) -> None:
+    context.told = Told(members, silent)
+
+
+@when("the members learn of {what}")
+def _(context: Any, what: str) -> None:
+    told: Told = context.told
+    told.heard.clear()
+    told.version = (1, 1)
+    if what == "a roll-out":
+        told.pressing = (1, 1)
+    else:
+        told.revision = 2
+    if "but for" in what:
+        told.ignorant = {told.reader._first()}
+    context.since = told.now
+
+
+@then("the front hears it first within {ms:d} ms, and within {late:d} ms from {count:d} members")
+def _(context: Any, ms: int, late: int, count: int) -> None:
+    told: Told = context.told
+    told.run(late * MS)
+    heard = [(at, name) for at, name, version in told.heard if version == (1, 1)]
+    assert heard[0][0] - context.since <= ms * MS, heard
+    assert len({name for _, name in heard}) == count, heard
+
+
+@then("the front hears it from all members that answer within {ms:d} ms or needs it no more")
+def _(context: Any, ms: int) -> None:
+    told: Told = context.told
+    told.run(ms * MS)
+    assert told.reader.version == (1, 1) and told.reader.revision == told.revision
+    assert {name for _, name, _ in told.heard} == set(told.names) - told.silent
+
+
+@then("a member's own pull is not answered for a configuration before its time")
+def _(context: Any) -> None:
+    reader, teller = Reader(["a", "b", "c"], "a"), Teller()
+    for name in reader.due(0):
+        pull = reader.pull(0, name)
+        assert not pull["first"]
+        teller.pull(0, name, pull | {"life": 7})
+    assert not teller.due(HOLD - 1, 7, 0, (1, 1), 2, (0, 0))
+    assert len(teller.due(HOLD, 7, 0, (1, 1), 2, (0, 0))) == 2
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -1,6 +1,11 @@
-"""A reader's side: whom to ask, with what vector, and what its answers add up to. No I/O."""
+"""A reader's side: whom to ask, with what vector, and what its answers add up to. No I/O.
+
+A configuration's news is told at once by one member, the reader's first; the others, whose pulls are out as well, tell
+it when these have been held for HOLD, if the reader does not know it by then. What presses is told by all at once.
+"""
 
 from typing import Any, NamedTuple, Sequence
+from zlib import crc32
 
 from umbermoor.gateway.screen.registry import KEPT, READY, Entry, entry_of, merged
 
@@ -25,13 +30,14 @@
 class Source:
     """One member of the core, as a reader sees it."""
 
-    __slots__ = "asked", "firm", "life", "number", "next", "old"
+    __slots__ = "asked", "firm", "life", "number", "next", "old", "silent"
 
     def __init__(self) -> None:
         self.asked: int | None = None
         self.firm = -(1 << 60)
         self.life = self.number = 0
         self.next = 0
+        self.silent = False  # its last pull had no answer
         self.old = False  # the next answer may be from before this process stood still
 
 
@@ -50,6 +56,7 @@
         self.offered = 0  # and of the newest one heard of
         self.base = ""  # digest of the one held: what is new may be told by what it changes
         self.head = ""  # the member where puts enter, as last told
+        self.salt = 0  # another one with each reader, so that each member is the first of as many
         self._want_at = 0
 
     def due(self, now: int) -> list[str]:
@@ -57,7 +64,7 @@
         found = []
         for name, source in self.sources.items():
             if source.asked is not None and now - source.asked > LOST:
-                source.asked, source.next = None, now
+                source.asked, source.next, source.silent = None, now, True
             if source.asked is None and now >= source.next:
                 found.append(name)
         return found
@@ -67,13 +74,18 @@
         source = self.sources[name]
         source.asked = now
         message = {"kind": "pull", "life": source.life, "number": source.number, "register": list(self.version),
-                   "revision": self.revision}
+                   "revision": self.revision, "first": name == self._first()}
         if self.offered > self.revision and now >= self._want_at:
             message["want"], self._want_at = True, now + AGAIN
             if self.base:
                 message["base"] = self.base
         return message
 
+    def _first(self) -> str:
+        """The member that tells this reader at once; none for a member itself, which learns by the chain."""
+        answering = [name for name, source in self.sources.items() if not source.silent]
+        return "" if self.me else min(answering, key=lambda name: crc32(f"{self.salt} {name}".encode()), default="")
+
     def unusable(self) -> None:
         """What a member told by what it changes did not come out: the next one is asked for whole."""
         self.base, self._want_at = "", 0
@@ -81,7 +93,7 @@
     def failed(self, now: int, name: str) -> None:
         """The pull did not reach the member, or its connection broke."""
         if source := self.sources.get(name):
-            source.asked, source.next = None, now + PAUSE
+            source.asked, source.next, source.silent = None, now + PAUSE, True
 
     def news(self, now: int, name: str, message: dict[str, Any]) -> Heard | None:
         """An answer to a pull; None where it is garbled or from a stranger."""
@@ -96,7 +108,7 @@
             number_of_set = int(message.get("set", 0))
         except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             return None
-        source.asked, source.life, source.number = None, life, number
+        source.asked, source.life, source.number, source.silent = None, life, number, False
         source.next = now + GAP
         firm = firm is True and not source.old
         source.old = False
@@ -167,7 +179,7 @@
             whole = {"life": int(message["life"]), "number": int(message["number"]),
                      "register": [int(message["register"][0]), int(message["register"][1])],
                      "revision": int(message["revision"]), "want": message.get("want") is True,
-                     "base": message.get("base")}
+                     "base": message.get("base"), "first": message.get("first") is not False}
         except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             return
         self.waiting[line] = now + HOLD, whole
@@ -175,13 +187,18 @@
     def closed(self, line: Any) -> None:
         self.waiting.pop(line, None)
 
-    def due(self, now: int, life: int, urgent: int, version: tuple[int, int], revision: int) -> list[tuple[Any, dict]]:
-        """The pulls that are answered now: those with news that should not wait, and those that waited long."""
+    def due(self, now: int, life: int, urgent: int, version: tuple[int, int], revision: int,
+            pressing: tuple[int, int] | None = None) -> list[tuple[Any, dict]]:
+        """The pulls that are answered now: those with news that should not wait, and those that waited long. `urgent`:
+        the number of the last change of a machine that presses; `pressing`: the register's version with the last change
+        of anything but the configuration; None: each presses."""
+        pressing = version if pressing is None else pressing
         found = []
         for line, (until, pull) in list(self.waiting.items()):
             known = pull["number"] if pull["life"] == life else -1
-            if now >= until or known < max(urgent, 0) or tuple(pull["register"]) < version \
-                    or pull["revision"] < revision or pull["want"]:
+            register = tuple(pull["register"])
+            lacks = register < pressing or pull["first"] and (register < version or pull["revision"] < revision)
+            if now >= until or known < max(urgent, 0) or lacks or pull["want"]:
                 found.append((line, pull))
                 del self.waiting[line]
         return found
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -67,6 +67,8 @@
         self.heards: dict[int, tuple[set[str], asyncio.Event]] = {}
         self.number = chance.getrandbits(40)  # an answer to an earlier life's question is none to this one's
         self.telling = False
+        self.records: dict[str, Any] = {}  # what is committed beside the configuration,
+        self.pressing = (0, 0)  # and the version with which that last changed
         self.leaving = 0  # until when it hands over, once it is told to end
         self.bodies: dict[str, bytes] = {}  # frames of the newest configuration, by the base they stand on
         self.bodies_of = 0  # its revision
@@ -330,7 +332,10 @@
                     future.set_result(effect)
         if self.member.version != self.learnt:
             self.learnt = self.member.version
-            for key, record in self.member.committed.items():
+            records = {key: record for key, record in self.member.committed.items() if key != CONFIG}
+            if records != self.records:
+                self.records, self.pressing = records, self.learnt
+            for key, record in records.items():
                 if key.startswith(ROLLOUT):
                     self.steps.record(self.now(), key[len(ROLLOUT):], record)
         if effects:
@@ -377,7 +382,8 @@
         callers = [line.peer for line in self.teller.waiting if line.peer not in member.everyone]
         fronts = callers if len(callers) <= FRONTS else self.chance.sample(callers, FRONTS)
         keys = {key: value for key, value in member.committed.items() if key != CONFIG}
-        for line, pull in self.teller.due(self.now(), registry.life, registry.urgent, member.version, revision):
+        for line, pull in self.teller.due(self.now(), registry.life, registry.urgent, member.version, revision,
+                                          self.pressing):
             known = pull["number"] if pull["life"] == registry.life else -1
             line.send(frame({
                 "kind": "news", "life": registry.life, "number": registry.number, "machines": registry.after(known),
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -64,6 +64,7 @@
         self.buffers = Buffers(papers.memory_mb << 20)
         self.pool = Pool(self.buffers, self.clock, self.may)
         self.pulls = Pulls([seed.rpartition(":")[0] for seed in papers.seeds])
+        self.pulls.salt = chance.getrandbits(32)
         self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
         self.lines: set[ClientLine] = set()
         self.going: dict[int, Going] = {}  # by id of its slot
