--- a/umbermoor/gateway/barograph/words.py
+++ b/umbermoor/gateway/barograph/words.py
@@ -6,6 +6,8 @@
 
 from typing import Any, Callable, Mapping
 
+from umbermoor.gateway.effects import Outcome
+
 Check = Callable[[Any], bool]
 LARGEST = 2**62
 
@@ -62,6 +64,19 @@
     return type(value) is list and all(map(entry, value))
 
 
+def echo(value: Any) -> bool:
+    """[life, beat] of the last ping that came from the addressed"""
+    return type(value) is list and len(value) == 2 and all(map(number, value))
+
+
+def outcome(value: Any) -> bool:
+    return type(value) is str and value in OUTCOMES
+
+
+def line(value: Any) -> bool:
+    return type(value) is str and len(value) <= 400
+
+
 def seats(value: Any) -> bool:
     """[[name, rank], ...]"""
     return (
@@ -85,6 +100,7 @@
 
 
 ASK = {"life": number, "id": number}
+OUTCOMES = frozenset(one.value for one in Outcome)
 SHAPES: Mapping[str, Mapping[str, Check]] = {
     "ping": {
         "life": number,  # drawn when the process started
@@ -122,10 +138,10 @@
     "fetch": {"have": version},
     "news": {"version": version, "state": values},
 }
-
-
-LATER: Mapping[str, Mapping[str, Check]] = {  # fields that an earlier revision does not send
+# Fields that members of an earlier revision do not send.
+MAYBE: Mapping[str, Mapping[str, Check]] = {
     "ping": {
+        "echo": echo,
         "number": number,  # of the latest set known to be in force
         "system": number,  # 0: none yet; not told to a member that has its disk
         "leaving": flag,  # it is about to end, in order
@@ -134,6 +150,7 @@
     "found": {"system": number},
     "promise": {"held": sets, "proven": proven},
     "newview": {"sets": sets},
+    "done": {"outcome": outcome, "why": line},
 }
 
 
@@ -142,6 +159,9 @@
     if type(message) is not dict or type(message.get("kind")) is not str:
         return False
     shape = SHAPES.get(message["kind"])
-    if shape is None or not all(key in message and check(message[key]) for key, check in shape.items()):
-        return False
-    return all(check(message[key]) for key, check in LATER.get(message["kind"], {}).items() if key in message)
+    maybe = MAYBE.get(message["kind"], {})
+    return (
+        shape is not None
+        and all(key in message and check(message[key]) for key, check in shape.items())
+        and all(key not in message or check(message[key]) for key, check in maybe.items())
+    )
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -7,25 +7,29 @@
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from typing import Any, Generator
 
 from umbermoor.gateway.almanac.configuration import check_slowly, read
 from umbermoor.gateway.almanac.faults import Fault
 from umbermoor.gateway.almanac.papers import Papers
 from umbermoor.gateway.anemometer.core import Steps
-from umbermoor.gateway.anemometer.plan import ROLLOUT, newer
+from umbermoor.gateway.anemometer.plan import ROLLOUT
+from umbermoor.gateway.anemometer.trial import ask as asked_of
+from umbermoor.gateway.anemometer.trial import first_record, step
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.store import Store
-from umbermoor.gateway.effects import Answer, Code, Effect, Send, Write
+from umbermoor.gateway.effects import Answer, Code, Effect, Send, Verdict, Write
 from umbermoor.gateway.heliograph.reader import Reader as Pulls
 from umbermoor.gateway.heliograph.reader import Teller
 from umbermoor.gateway.logbook.calls import Call, Desk, Reply, call, reply, wrong
+from umbermoor.gateway.logbook.orders import CONFIG, configuration, digest_slowly, judge
 from umbermoor.gateway.mast.events import event, watch
 from umbermoor.gateway.mast.post import Line, Post, frame
 from umbermoor.gateway.screen.registry import (DRAINING, READY, SILENT, STANDINGS, Entry, Registry, beat_of,
                                                 entry_of)
 
 SECOND = 1_000_000
+CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)  # runs on while the machine is suspended, where it can
 TICK = 0.05  # s
 FRONTS = 6  # other fronts named in an answer: enough to meet the rest by
 BATCH = 0.01  # s: changes that come together are told together
@@ -34,15 +38,11 @@
 CHANGE = 4.5  # s: a change of the members is answered by then
 LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
 STATUS = {Code.OK: 200, Code.LATER: 503, Code.CLASH: 409, Code.WRONG: 422, Code.UNKNOWN: 404}
-CONFIG, MACHINES = "config", "machines"
+MACHINES = "machines"
+KEY_MOST = 64  # characters of an order's key
 SAVE = SECOND  # us: the list of machines is written no more often
 
 
-def admit(key: str, old: Any, new: Any) -> bool:
-    """Whether a put changes anything: of configurations the highest version holds."""
-    return newer(new, old) if key != CONFIG else old is None or new["revision"] > old["revision"]
-
-
 class Core:
     def __init__(self, papers: Papers, chance: random.Random) -> None:
         self.papers, self.chance = papers, chance
@@ -51,7 +51,10 @@
         seeds = [seed.rpartition(":")[0] for seed in papers.seeds]
         stored = self.store.load()
         machines = json.loads(stored.pop(MACHINES, b"[]"))
-        self.member = Member(papers.ip, seeds, papers.bear_machines, papers.cold, stored, admit, chance)
+        if self.store.lost:  # a disk that can't be believed is one that was lost, and no new system's
+            event("disk_lost", why=self.store.lost)
+        cold = papers.cold and not self.store.lost
+        self.member = Member(papers.ip, seeds, papers.bear_machines, cold, stored, judge, chance)
         self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
         for entry in filter(None, map(entry_of, machines)):
             self.registry.take(self.now(), entry)
@@ -61,14 +64,18 @@
         self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
         self.asks: dict[int, asyncio.Future] = {}
         self.heards: dict[int, tuple[set[str], asyncio.Event]] = {}
-        self.number = 0
+        self.number = chance.getrandbits(40)  # an answer to an earlier life's question is none to this one's
         self.telling = False
         self.leaving = 0  # until when it hands over, once it is told to end
         self.body: tuple[int, bytes] = (0, b"")  # the frame of a configuration
         self.over = asyncio.Event()
 
     def now(self) -> int:
-        return round(time.monotonic() * SECOND)
+        return round(time.clock_gettime(CLOCK) * SECOND)
+
+    def connected(self) -> bool:
+        """Whether a majority proved contact within the lease."""
+        return self.member.connected_at(self.now())
 
     # Calls
 
@@ -77,22 +84,39 @@
         body = read(ask.body)
         if isinstance(body, Fault):
             return wrong(400, str(body))
-        steps = check_slowly(body)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as end:
-                fault = end.value
-                break
-            await asyncio.sleep(0)
+        fault = await self.slowly(check_slowly(body))
         if fault is not None:
             event("refused", what="configuration", why=str(fault))
             return wrong(400, str(fault))
-        value = {"revision": int(body["revision"], 16), "text": ask.body.decode()}
+        value = configuration(int(body["revision"], 16), ask.body.decode(), await self.slowly(digest_slowly(body)))
         answer = await self.ask(lambda now, number: self.member.put(now, number, CONFIG, value))
         event("taken" if answer.code is Code.OK else "untaken", what="configuration", revision=body["revision"],
-              code=answer.code.value)
-        return Reply(200) if answer.code is Code.OK else LATER
+              code=answer.code.value, **self.outcome(answer))
+        return self.told(answer)
+
+    @staticmethod
+    async def slowly(steps: Generator[None, None, Any]) -> Any:
+        """The end of a work in steps, with room for others between them."""
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return end.value
+            await asyncio.sleep(0)
+
+    @staticmethod
+    def outcome(answer: Answer) -> dict[str, Any]:
+        """For the log."""
+        return {"outcome": answer.value.outcome.value} if isinstance(answer.value, Verdict) else {}
+
+    @staticmethod
+    def told(answer: Answer) -> Reply:
+        """What an order's caller is told."""
+        if answer.code is Code.OK:
+            return Reply(200)
+        if answer.code is Code.LATER:
+            return LATER
+        return wrong(STATUS[answer.code], answer.value.why if isinstance(answer.value, Verdict) else answer.code.value)
 
     @call("GET", "/Config.Read")
     async def config(self, ask: Call) -> Reply:
@@ -113,7 +137,7 @@
         entry = beat_of(ask.name, body)
         if isinstance(entry, str):
             return wrong(400, entry)
-        if not self.member.connected:
+        if not self.connected():
             return LATER
         known = self.registry.entries.get(entry.id)
         if self.registry.take(self.now(), entry):
@@ -127,30 +151,29 @@
     async def gone(self, ask: Call) -> Reply:
         entry = self.registry.gone(self.now(), ask.name)
         self.tell_soon()
-        return Reply(200) if self.member.connected and await self.note(entry) else LATER
+        return Reply(200) if self.connected() and await self.note(entry) else LATER
 
     @call("POST", "/Rollouts.Begin")
     async def begin(self, ask: Call) -> Reply:
         try:
             body = ask.json()
-            service, target, ramp = body["service"], body["target"], body["rampS"]
-        except (ValueError, RecursionError, TypeError, KeyError) as error:
+            service, target, ramp, key = body["service"], body["target"], body["rampS"], body.get("key", "")
+        except (ValueError, RecursionError, TypeError, KeyError, AttributeError) as error:
             return wrong(400, f"a roll-out names service, target and rampS: {error}")
         if not isinstance(service, str) or not 0 < len(service) <= 200 or not isinstance(target, str):
             return wrong(400, "service, target: not texts")
-        if not self.member.connected:
-            return LATER
-        present = [entry.revision for entry in self.registry.entries.values()
-                   if entry.service == service and entry.state in (READY, SILENT)]
-        if not present and CONFIG in self.member.committed and service not in json.loads(
-                self.member.committed[CONFIG]["text"])["services"]:
-            return wrong(404, f"service: unknown, {service}")
-        record = self.steps.begin(self.now(), service, target, ramp, present)
-        if isinstance(record, Code):
-            return reply(STATUS[record])
-        answer = await self.ask(lambda now, number: self.member.put(now, number, ROLLOUT + service, record))
-        event("begin", service=service, target=target, ramp_s=ramp, code=answer.code.value)
-        return reply(STATUS[answer.code])
+        if not isinstance(key, str) or len(key) > KEY_MOST:
+            return wrong(400, f"key: not a text of {KEY_MOST} characters at most")
+        if not target or isinstance(ramp, bool) or not isinstance(ramp, (int, float)) or not 0 < ramp < float("inf"):
+            return wrong(422, "target: empty, or rampS: not a number above 0")
+        present = sorted({entry.revision for entry in self.registry.entries.values()
+                          if entry.service == service and entry.state in (READY, SILENT)})
+        order = asked_of(target, ramp, present, key)
+        # A head of the earlier revision puts what is beside `begin`: what this member's own copy makes of the order.
+        value = first_record(self.member.committed.get(ROLLOUT + service), order) | {"begin": order}
+        answer = await self.ask(lambda now, number: self.member.put(now, number, ROLLOUT + service, value))
+        event("begin", service=service, target=target, ramp_s=ramp, code=answer.code.value, **self.outcome(answer))
+        return self.told(answer)
 
     @call("GET", "/Rollouts.Read/")
     async def rollout(self, ask: Call) -> Reply:
@@ -263,7 +286,7 @@
                 held[0].add(line.peer)
                 if self.enough(message["number"]):
                     held[1].set()
-        elif kind == "reports" and isinstance(message.get("reports"), list):
+        elif kind == "reports" and isinstance(message.get("reports"), list) and self.connected():
             for report in message["reports"]:
                 try:
                     self.steps.report(now, line.peer, report)
@@ -304,7 +327,11 @@
         if done:
             self.carry(self.member.written(self.now(), token))
         else:
-            event("unwritten", token=token)
+            event("unwritten", token=token, why="full" if self.store.full else "refused")
+            if self.store.lost and not self.store.open:
+                event("disk_lost", why=self.store.lost)
+                self.over.set()  # it is started again, and finds that its disk counts as lost
+                return
             self.carry(self.member.unwritten(self.now(), token))
 
     def head(self) -> str:
@@ -343,7 +370,7 @@
                 "kind": "news", "life": registry.life, "number": registry.number, "machines": registry.after(known),
                 "register": list(member.version), "keys": keys if pull["register"] != list(member.version) else {},
                 "everyone": list(member.sets.members), "set": member.sets.number, "head": self.head(),
-                "firm": member.connected, "revision": revision,
+                "firm": self.connected(), "revision": revision,
                 "fronts": fronts}))
             if pull.get("want") and revision > pull["revision"]:
                 if self.body[0] != revision:
@@ -397,7 +424,8 @@
             if self.member.connected and self.head() == self.papers.ip:
                 for service, record in self.steps.tick(now):
                     self.number += 1
-                    self.carry(self.member.put(now, self.number, ROLLOUT + service, record))
+                    value = step(record, self.steps.orders[service].record, self.member.story()["epoch"])
+                    self.carry(self.member.put(now, self.number, ROLLOUT + service, value))
             self.registry.tick(now, self.member.connected)
             self.save(now)
             self.pulls.forget(now)
