--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -99,3 +99,17 @@
     When puts are made at member 2 of the register every 10 ms for 2000 ms, and the head is told to end after 500 ms
     Then the longest time without an acknowledgement was under 150 ms
     And the head ended within 300 ms, and the set is the first one
+
+  Scenario: One that is taken out answers what it was asked at once
+    Given a register of 3 members with 1 spares
+    When member 1 of the register is asked to put, and what it sends to the head is lost
+    And member 2 of the register is ordered to replace member 1
+    Then the put was answered LATER within 60 ms
+
+  Scenario: A member of the revision before works on, and no change is made while it runs
+    Given a register of 3 members with 1 spares
+    When member 3 of the register speaks as the revision before
+    And all members stop, and start again
+    Then the register is whole within 2000 ms, and takes puts
+    When member 1 of the register is ordered to replace member 2
+    Then the order is refused: "10.0.0.3 runs a revision that knows no changes of the members"
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -295,3 +295,49 @@
 def _(context: Any, other: int, number: int) -> None:
     attempt = context.sets.machines[named(context, number)].member._attempt
     assert not attempt.change and attempt.sets.number == 1 and "10.0.0.101" not in attempt.sets.names
+
+
+@when("member {number:d} of the register is asked to put, and what it sends to the head is lost")
+def _(context: Any, number: int) -> None:
+    world: Sets = context.sets
+    lost = ("put", "append")
+    world.swallow = lambda sender, to, message: sender == named(context, number) and message["kind"] in lost
+    context.call = world.calls[world.put(named(context, number), "any/x")]
+    assert context.call.answered is None
+
+
+@then("the put was answered LATER within {ms:d} ms")
+def _(context: Any, ms: int) -> None:
+    assert context.sets.run(ms * MS, lambda: context.call.answered is not None)
+    assert context.call.answered is Code.LATER and context.sets.changes[context.order] is Code.OK
+
+
+@when("member {number:d} of the register speaks as the revision before")
+def _(context: Any, number: int) -> None:
+    world, carry = context.sets, context.sets._carry
+    later = {"ping": ("number", "system", "sets", "leaving"), "promise": ("held", "proven"), "newview": ("sets",)}
+
+    def speak(sender: str, send: Any) -> None:
+        if sender == named(context, number):
+            unsaid = later.get(send.message["kind"], ())
+            send = send._replace(message={key: value for key, value in send.message.items() if key not in unsaid})
+        carry(sender, send)
+
+    world._carry = speak
+
+
+@when("all members stop, and start again")
+def _(context: Any) -> None:
+    for name in context.sets.first:
+        context.sets.stop(name)
+    for name in context.sets.first:
+        context.sets.start(name)
+
+
+@then("the register is whole within {ms:d} ms, and takes puts")
+def _(context: Any, ms: int) -> None:
+    world: Sets = context.sets
+    assert world.run(ms * MS, world.whole)
+    call = world.calls[world.put(named(context, 3), "config/a")]
+    assert world.run(800 * MS, lambda: call.answered is not None) and call.answered is Code.OK
+    world.run(1500 * MS)
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -392,11 +392,11 @@
     def _hearing(self) -> list[str]:
         return sorted((*self._peers.heard(self._now), *self._outside.heard(self._now)))
 
-    def _ping_all(self) -> None:
+    def _ping_all(self, also: Sequence[str] = ()) -> None:
         self._pinged = self._now
         ping = self._ping()
         if self.counted:
-            asked = dict.fromkeys((*self.everyone, *self._outside.heard(self._now)))
+            asked = dict.fromkeys((*self.everyone, *also, *self._outside.heard(self._now)))
         else:
             asked = dict.fromkeys((*self.everyone, *self._seeds, *self._peers.heard(self._now)))
         for who in asked:
@@ -804,7 +804,7 @@
         elif attempt.accepted.issuperset(attempt.chain):
             self._attempt = None
             self._know(View(attempt.epoch, attempt.chain), attempt.sets)
-            self._ping_all()
+            self._ping_all(attempt.sets.names)
         elif self._now - attempt.began >= COLLECT + ACCEPT:
             for who in attempt.chain:
                 if who not in attempt.accepted and who != self.me:
@@ -1100,7 +1100,8 @@
 
     def _send_asks(self) -> None:
         epoch = self._view.epoch
-        for ask, code in self._asks.over(self._now, epoch):
+        until = self._now if self.counted else 1 << 62  # one that was taken out can tell nothing any more: at once
+        for ask, code in self._asks.over(until, epoch):
             self._out.append(Answer(ask, code))
         if not epoch or not self._able():
             return
