--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -9,6 +9,7 @@
 PAUSE = 150_000  # us: after a pull that failed
 GAP = 60_000  # us: between a pull's answer and the next pull, so that changes come together
 FORGET = KEPT + 20_000_000  # us: a machine that has not been ready for so long is dropped
+ANEW = 10_000_000  # us: without word of a majority for so long, an older set of members is followed too: a system anew
 AGAIN = 700_000  # us: until another member is asked for the body of a configuration
 
 
@@ -18,25 +19,27 @@
     machines: list[Entry]
     register: dict[str, Any]  # keys that changed, with their values
     want: bool  # the configuration's body is to be asked for
+    firm: bool  # it is as new as a member in force could tell after it was asked
 
 
 class Source:
     """One member of the core, as a reader sees it."""
 
-    __slots__ = "asked", "firm", "life", "number", "next"
+    __slots__ = "asked", "firm", "life", "number", "next", "old"
 
     def __init__(self) -> None:
         self.asked: int | None = None
         self.firm = -(1 << 60)
         self.life = self.number = 0
         self.next = 0
+        self.old = False  # the next answer may be from before this process stood still
 
 
 class Reader:
     """Pulls from every known member. `everyone`: the core's members as last told; at first the seeds."""
 
     def __init__(self, seeds: Sequence[str], me: str = "") -> None:
-        self.me, self.told = me, False
+        self.me, self.told, self.set = me, False, 0  # `set`: number of the members' set that `everyone` is
         self.sources = {seed: Source() for seed in seeds if seed != me}
         self.everyone: tuple[str, ...] = tuple(seeds)
         self.machines: dict[str, Entry] = {}
@@ -83,13 +86,17 @@
             version = (int(message["register"][0]), int(message["register"][1]))
             keys, members, firm = dict(message["keys"]), [str(one) for one in message["everyone"]], message["firm"]
             offered, head = int(message["revision"]), str(message["head"])
+            number_of_set = int(message.get("set", 0))
         except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             return None
         source.asked, source.life, source.number = None, life, number
         source.next = now + GAP
-        if firm is True:
+        firm = firm is True and not source.old
+        source.old = False
+        if firm:
             source.firm = now
-        if members and firm is True:
+        if members and firm and (number_of_set >= self.set or not self.firm_since(now - ANEW)):
+            self.set = number_of_set
             self.members(members)
         changed = merged(filter(None, map(entry_of, entries if isinstance(entries, list) else [])), self.machines)
         for entry in changed:
@@ -98,14 +105,19 @@
             else:
                 self._away.setdefault(entry.id, now)
         register = {}
-        if firm is True and version >= self.version:
+        if firm and version >= self.version:
             self.head = head
         if version > self.version:
             self.version = version
             register = {key: value for key, value in keys.items() if self.register.get(key) != value}
             self.register.update(register)
         self.offered = max(self.offered, offered)
-        return Heard(changed, register, self.offered > self.revision and now >= self._want_at)
+        return Heard(changed, register, self.offered > self.revision and now >= self._want_at, firm)
+
+    def stood_still(self) -> None:
+        """This process was frozen, or starved: an answer that it finds now may have lain there, and proves nothing."""
+        for source in self.sources.values():
+            source.old = source.old or source.asked is not None
 
     def meet(self, name: str) -> None:
         """A seed that was named later; it counts only until members say who they are."""
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -16,20 +16,22 @@
 from umbermoor.gateway.anemometer.plan import ROLLOUT
 from umbermoor.gateway.heliograph.reader import Reader as Pulls
 from umbermoor.gateway.mast import datagrams
-from umbermoor.gateway.mast.clients import ClientLine, request_bytes
+from umbermoor.gateway.mast.clients import ClientLine, relieve, request_bytes
 from umbermoor.gateway.mast.events import event, watch
 from umbermoor.gateway.mast.lines import Attempt, Pool
 from umbermoor.gateway.mast.post import Line, Post
 from umbermoor.gateway.mast.ready import ReadyLine
 from umbermoor.gateway.raingauge.budget import Budget
 from umbermoor.gateway.sonde.fronts import Sonde
-from umbermoor.gateway.vane.exchange import Exchange, Fate, Relay, Told, Wait
+from umbermoor.gateway.vane.answers import UNRUN, Event, Fate
+from umbermoor.gateway.vane.exchange import ANSWER_MARGIN, Exchange, Relay, Told, Wait
 from umbermoor.gateway.vane.plants import Plant, Plants
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Request, Response
 
 SECOND = 1_000_000
 TICK = 0.05  # s
+STILL = SECOND // 2  # us: a longer time between two ticks: frozen, or starved
 OVERTIME = 0.1  # s: an answer at the last moment may still be on its way
 WAY = 10_000  # us: taken off what a client says it waits, for the way there and back
 FIRST = 3 * SECOND  # us: ready without any machine known, where none came within this
@@ -65,6 +67,7 @@
         self.going: dict[int, Going] = {}  # by id of its slot
         self.budgets: dict[str, Budget] = {}
         self.leaving, self.ready, self.started = False, False, self.now()
+        self.ticked = self.started
         self.keep_s, self.idle_s, self.head_s, self.body_most = 10, 15.0, 3.0, BODY_MOST
         self.ended = asyncio.Event()
         self.counts: dict[str, int] = {}
@@ -84,6 +87,9 @@
         if route is None:
             line.told(slot, 404, b"", {})
             return
+        if not request.headers.get("x-attempt-id"):  # no answer could be known as its own
+            line.told(slot, 400, b"", {})
+            return
         told = request.headers.get("x-time-remaining", "")
         left = int(told) * 1000 - WAY if told.isdecimal() and len(told) < 9 else route.horizon_us
         service = route.service_for(self.chance.random())
@@ -93,6 +99,11 @@
         self.trials.asked(now, service)
         self.go(going)
 
+    def may_repeat(self, request: Request) -> bool:
+        """Whether it may be worked at while requests before it on its connection are."""
+        route = self.routes and self.routes.find(request.headers.get("host", ""), request.target.partition("?")[0])
+        return route is None or route.safe
+
     def may(self, plant: Plant) -> bool:
         """The gate right before every send."""
         now = self.now()
@@ -121,6 +132,10 @@
             if second:
                 budget.spend(now)
             self.hand(now, going, plant)
+        if going.out and now >= exchange.due - ANSWER_MARGIN:
+            self.take_back(going)
+            if exchange.closed:
+                return
         step = exchange.rest(now)
         if going.timer is not None:
             going.timer.cancel()
@@ -148,7 +163,7 @@
     def hand(self, now: int, going: Going, plant: Plant) -> None:
         exchange = going.exchange
         going.number += 1
-        number = going.number
+        number, anew = going.number, plant.id in exchange.tried
         usual = self.plants.usual.get(exchange.service, 100_000.0)
         exchange.attempt(now, number, plant, round(4 * usual * plant.pace))
         self.plants.sent(now, plant)
@@ -156,7 +171,7 @@
         data = request_bytes(going.request, plant.id, max(1, (exchange.due - now) // 1000))
         attempt = Attempt(data, going.request.headers.get("x-attempt-id", ""),
                           lambda fate, response: self.attempt_ended(going, number, plant, now, fate, response),
-                          going.request.method == "HEAD")
+                          going.request.method == "HEAD", anew)
         going.out[number] = attempt
         self.pool.start(plant, attempt, not exchange.safe)
 
@@ -174,11 +189,12 @@
             plants.full(now, plant)
         elif fate is Fate.WRONG:
             plants.wrong(plant)
+            self.pool.drop(plant)
         elif fate is Fate.WHOLE:
             plant.heard = now
-        else:
+        elif fate is not Fate.DROPPED:
             plants.failed(now, plant, fate is Fate.UNSENT)
-        entry, unrun = plant.entry, fate in (Fate.UNSENT, Fate.FULL, Fate.WRONG)
+        entry, unrun = plant.entry, fate in UNRUN
         self.trials.ended(now, entry.service, entry.revision, plant.id, plant.listed,
                           now - sent <= going.route.setpoint_us, fate is not Fate.WHOLE or status >= 500,
                           number > 1 or unrun)
@@ -200,13 +216,19 @@
     def leave_out(self, going: Going) -> None:
         """Attempts that are out when a request ends may go on until its time is over, and no longer: of a machine that
         went dark nothing comes, not even an end."""
+        self.take_back(going)
         if going.out:
             left = max(0, going.exchange.due - self.now()) / SECOND + OVERTIME
             asyncio.get_running_loop().call_later(left, self.give_up, going)
 
+    def take_back(self, going: Going) -> None:
+        """Attempts of which nothing was written end here: they are proved not to run."""
+        for attempt in list(going.out.values()):
+            attempt.meet(Event.UNWANTED)
+
     def give_up(self, going: Going) -> None:
         for attempt in list(going.out.values()):
-            attempt.give_up()
+            attempt.meet(Event.OVER)
 
     def client_left(self, slot: list) -> None:
         """Its connection is gone: what it asked is not sent anywhere else."""
@@ -222,23 +244,24 @@
     def receive(self, line: Line, message: dict[str, Any]) -> None:
         kind, now = message.get("kind"), self.now()
         if kind == "news":
+            self.look(now)
             heard = self.pulls.news(now, line.peer, message)
             if heard is None:
                 return
             for plant in self.plants.take(now, heard.machines):
                 self.pool.drop(plant)
-            if message.get("firm") is True:
+            if heard.firm:
                 self.trials.heard(now)
             for key, record in heard.register.items():
                 if key.startswith(ROLLOUT):
                     service = key[len(ROLLOUT):]
-                    self.trials.order(now, service, record)
+                    self.trials.order(now, service, record, heard.firm)
                     stage = record["state"], record["target"], record["stage"]
                     if self.stages.get(key) != stage:
                         self.stages[key] = stage
                         event("rollout", service=service, state=stage[0], target=stage[1], stage=stage[2])
             for service in self.plants.changed:
-                if message.get("firm") is True and ROLLOUT + service not in self.pulls.register:
+                if heard.firm and ROLLOUT + service not in self.pulls.register:
                     self.trials.order(now, service, None)
                 self.trials.listed(now, service, [(one.id, one.entry.revision, one.listed)
                                                   for one in self.plants.listed(service)])
@@ -273,6 +296,12 @@
 
     # Clocks
 
+    def look(self, now: int) -> None:
+        """Finds out that time has passed in which this process did not run: messages may come before the next tick."""
+        if now - self.ticked > STILL:
+            self.pulls.stood_still()
+        self.ticked = now
+
     async def serve(self) -> None:
         loop = asyncio.get_running_loop()
         watch(loop)
@@ -302,6 +331,7 @@
         told = 0.0
         while True:
             now = self.now()
+            self.look(now)
             for name in self.pulls.due(now):
                 self.post.send(name, self.pulls.pull(now, name))
             if self.pulls.head and (reports := self.trials.tick(now)):
@@ -325,6 +355,8 @@
                     budget.shared(now, slack, fronts)
                 for line in list(self.lines):
                     line.sweep(clock, self.head_s, self.idle_s)
+                if broken := relieve(self.lines, self.papers.memory_mb << 17):
+                    event("unread", broken=broken)
             await asyncio.sleep(TICK)
 
     def read_again(self) -> None:
@@ -356,7 +388,7 @@
         most = self.clock() + self.papers.margin("graceS", 6.0) - LINGER - 0.7
         while self.clock() < most:
             for line in list(self.lines):
-                if not line.row and not line.reader.midway:
+                if not line.row and not line.reader.midway and not line.ended:
                     line.transport.close()
             if not self.lines:
                 return
