--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -65,6 +65,10 @@
     id: int
 
 
+def _nothing() -> None:
+    pass
+
+
 def write_json(value: Any) -> bytes:
     return json.dumps(value, separators=(",", ":")).encode()
 
@@ -168,6 +172,7 @@
             self._consider()
             self._again()
             self._catch_up()
+            self._probe_disk()
             self._go_on_changing()
         elif self._fresh and self._seeds[:1] == (self.me,):
             self._found()
@@ -179,7 +184,7 @@
     def written(self, now: int, token: int) -> list[Effect]:
         """The Write of that token is synced."""
         self._at(now)
-        for then in self._disk.written(token):
+        for then in self._disk.written(self._now, token):
             then()
         return self._effects()
 
@@ -290,6 +295,14 @@
         self._at(now)
         return self.connected
 
+    def listens(self, sender: str) -> bool:
+        """Whether what that one says of the chain is taken at all."""
+        return self._listens(sender, "append")
+
+    def held(self, key: str) -> Any:
+        """What stands under it here, committed or not; None if nothing does."""
+        return self._state.get(key)
+
     def _find_sets(self) -> Membership:
         """Of the view accepted last, or of a later one known to be active."""
         epoch, proven = self._proven
@@ -640,7 +653,7 @@
             if who != self.me and peer and peer.ping.get("leaving") and self._can_do_without(who):
                 return "leaving", rank * 20 * MS, frozenset((who,))
             since = max(self._joined_at, peer.joined_at if peer and peer.joined == self._joined else 0)
-            if who != self.me and self._now - since > SILENCE:
+            if who != self.me and self._now - since > SILENCE and self._dispensable(who):
                 return "silent", rank * 80 * MS + self._chance.randrange(100 * MS), frozenset((who,))
         if self._acked < self._sent and self._now - self._progress > TARDY:
             return "tardy", 0, frozenset((self._held.chain[self._place() + 1],))
@@ -648,6 +661,12 @@
             return "enter", self._place() * 250 * MS + self._chance.randrange(100 * MS), nobody
         return "", 0, nobody
 
+    def _dispensable(self, who: str) -> bool:
+        """Whether a chain without it can be: it is not heard, or enough others are whose disks are well."""
+        heard = self._peers.heard(self._now)
+        well = [self.me, *(other for other, peer in heard.items() if other != who and peer.ping["well"])]
+        return who not in heard or self.sets.quorum(well)
+
     def _can_do_without(self, leaver: str) -> bool:
         """Whether the rest of the chain, as far as it is heard, is a majority."""
         heard = self._peers.heard(self._now)
@@ -833,11 +852,13 @@
         """Enough have promised: decide on the chain and its state."""
         first = [self.me, *self._view.chain, *attempt.sets.names]
         order = [who for who in dict.fromkeys(first) if who in attempt.promises]
+        ill = {who for who, peer in self._peers.heard(self._now).items() if not peer.ping["well"]}
+        shunned = attempt.shunned | ill
         sets = attempt.sets
         staying = [who for who in order if who in sets.members]
-        chosen = choose_chain(staying, attempt.shunned, sets.quorum, attempt.mutual)
+        chosen = choose_chain(staying, shunned, sets.quorum, attempt.mutual)
         if not sets.quorum(chosen) and not attempt.change:
-            chosen = choose_chain(order, attempt.shunned, sets.quorum, attempt.mutual)
+            chosen = choose_chain(order, shunned, sets.quorum, attempt.mutual)
         if not sets.quorum(chosen) or attempt.add and attempt.add not in chosen:
             self._give_up()
             return
@@ -1182,6 +1203,12 @@
         if version > self.version and version[0] != self._joined:
             self.committed, self.version = dict(state), version
 
+    def _probe_disk(self) -> None:
+        """See whether a disk that was slow still is, by what a change writes, as long as nobody waits for it."""
+        if not self._serving() and not self._blank and self._settled and self._disk.to_be_probed(self._now):
+            puts = {f"state/{key}": write_json(value) for key, value in self._state.items()}
+            self._disk.want(puts, "probe", _nothing)
+
     def _catch_up(self) -> None:
         if self._serving() or self._blank and self.counted or self._now - self._fetched < FETCH:
             return
