--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -31,6 +31,7 @@
 
 MS = 1000
 PING = 200 * MS
+HASTY = 400 * MS  # as peers.STEADY, where the chain is thin: a second loss must not meet it so
 HEARD = 1000 * MS  # heard within this counts for `connected`
 SILENCE = 800 * MS  # one of the chain that is not heard in it, and well, for so long is given up
 TARDY = 1200 * MS  # so is the next one if it acknowledges nothing for so long
@@ -404,11 +405,11 @@
     def _hearing(self) -> list[str]:
         return sorted((*self._peers.heard(self._now), *self._outside.heard(self._now)))
 
-    def _ping_all(self) -> None:
+    def _ping_all(self, also: Sequence[str] = ()) -> None:
         self._pinged = self._now
         ping = self._ping()
         if self.counted:
-            asked = dict.fromkeys((*self.everyone, *self._outside.heard(self._now)))
+            asked = dict.fromkeys((*self.everyone, *also, *self._outside.heard(self._now)))
         else:
             asked = dict.fromkeys((*self.everyone, *self._seeds, *self._peers.heard(self._now)))
         for who in asked:
@@ -677,7 +678,7 @@
             and peer.ping["well"]
             and not peer.ping.get("leaving")
             and (not peer.ping["blank"] or peer.ping["ready"])
-            and self._now - peer.since >= STEADY
+            and self._now - peer.since >= (HASTY if self.thin else STEADY)
             and self._shunned.get(who, 0) <= self._now
             and all(self._peers.mutual(self._now, who, other) for other in self._held.chain)
         )
@@ -822,7 +823,7 @@
         elif attempt.accepted.issuperset(attempt.chain):
             self._attempt = None
             self._know(View(attempt.epoch, attempt.chain), attempt.sets)
-            self._ping_all()
+            self._ping_all(attempt.sets.names)
         elif self._now - attempt.began >= COLLECT + ACCEPT:
             for who in attempt.chain:
                 if who not in attempt.accepted and who != self.me:
@@ -1120,7 +1121,8 @@
 
     def _send_asks(self) -> None:
         epoch = self._view.epoch
-        for ask, code in self._asks.over(self._now, epoch):
+        until = self._now if self.counted else 1 << 62  # one that was taken out can tell nothing any more: at once
+        for ask, code in self._asks.over(until, epoch):
             self._out.append(Answer(ask, code))
         if not epoch or not self._able():
             return
