--- a/tests/gateway/features/state.feature
+++ b/tests/gateway/features/state.feature
@@ -58,3 +58,26 @@
   Scenario: A full store refuses, says so, and goes on with what it holds
     Given a store with little room
     Then the store refuses what does not fit as full, and takes it once something was removed
+
+  Scenario: A sweep finds a value that is no longer what was written, and it is written again
+    Given a core whose disk holds a configuration
+    When a bit of the configuration flips on the core's disk
+    And the core's time for a sweep has come
+    Then the core has mended one record, and its disk holds what was written
+
+  Scenario Outline: A sweep that finds what cannot be mended ends the process, and its disk counts as lost
+    Given a core whose disk holds a configuration
+    When <what> on the core's disk
+    And the core's time for a sweep has come
+    Then the core ends, and a start on its disk counts it as lost
+
+    Examples:
+      | what                      |
+      | a bit of the view flips   |
+      | a page is overwritten     |
+
+  Scenario: The store stays small over thousands of changes
+    Then after 3000 changes of 60 kB and of 20 roll-outs the store is below 2 MB
+
+  Scenario: Fronts get what changed beside the configuration, and no more
+    Then a core tells one who pulls from any version exactly the roll-outs that changed since
--- a/tests/gateway/features/steps/state_steps.py
+++ b/tests/gateway/features/steps/state_steps.py
@@ -1,5 +1,6 @@
 """Steps of the store's features, see tests/gateway/stores.py."""
 
+import asyncio
 import json
 import os
 import random
@@ -266,3 +267,116 @@
     assert store.write({"a": None})
     assert store.write({"b": value}) and not store.full
     assert store.load() == {"b": value}
+
+
+TEXT = json.dumps({"revision": "00000007", "services": {}, "routes": {}, "note": "x" * 3000})
+
+
+@given("a core whose disk holds a configuration")
+def _(context: Any) -> None:
+    from umbermoor.gateway.mast.core import Core
+
+    context.path = folder(context)
+    store = Store(context.path, stores.SIZE)
+    assert store.write(OLD | {"state/config": json.dumps({"revision": 7, "text": TEXT}).encode()})
+    store.close()
+    context.core = Core(papers_from(SETTINGS.format(path=context.path).encode()), random.Random(1))
+    context.add_cleanup(context.core.store.close)
+
+
+def overwrite(context: Any, place: int, data: bytes) -> None:
+    with open(os.path.join(context.path, DATA), "r+b") as file:
+        file.seek(place)
+        file.write(data)
+
+
+@when("a bit of the configuration flips on the core's disk")
+def _(context: Any) -> None:
+    data = stores.image(context.path)
+    overwrite(context, data.rindex(b"xxxx"), b"y")
+
+
+@when("a bit of the view flips on the core's disk")
+def _(context: Any) -> None:
+    data = stores.image(context.path)
+    overwrite(context, data.rindex(b'[16384,["a"') + 1, b"2")
+
+
+@when("a page is overwritten on the core's disk")
+def _(context: Any) -> None:
+    with open(os.path.join(context.path, DATA), "rb") as file:
+        metas = pages.read_metas(file)
+    overwrite(context, metas[0].roots[1] * stores.PAGE, b"\xff" * stores.PAGE)
+
+
+@when("the core's time for a sweep has come")
+def _(context: Any) -> None:
+    from umbermoor.gateway.mast.core import SWEEP
+
+    core = context.core
+
+    async def sweep() -> None:
+        core.sweep(core.now() + SWEEP)
+        while core.sweeping or core.member._disk._flying:
+            await asyncio.sleep(0)
+
+    asyncio.run(asyncio.wait_for(sweep(), 20))
+
+
+@then("the core has mended one record, and its disk holds what was written")
+def _(context: Any) -> None:
+    assert context.core.mended == 1 and context.core.sweeps == 1 and not context.core.over.is_set()
+    assert context.core.store.sweep() == []
+    found, lost = stores.opened(folder(context), stores.image(context.path))
+    assert not lost and json.loads(found["state/config"]) == {"revision": 7, "text": TEXT}
+
+
+@then("the core ends, and a start on its disk counts it as lost")
+def _(context: Any) -> None:
+    assert context.core.over.is_set() and not context.core.mended
+    found, lost = stores.opened(folder(context), stores.image(context.path))
+    assert lost and not found
+
+
+@then("after {count:d} changes of 60 kB and of 20 roll-outs the store is below {most:d} MB")
+def _(context: Any, count: int, most: int) -> None:
+    store, chance = Store(folder(context), 150 << 20), random.Random(1)
+    text = "x" * 60_000
+    for number in range(count):
+        puts = {"state/config": b'{"n": %d, "text": "%s"}' % (number, text.encode()), "version": b"[64, %d]" % number}
+        if number % 3 == 0:
+            puts[f"state/rollout/s{chance.randrange(20)}"] = b'{"order": %d}' % number
+        assert store.write(puts)
+    assert store.used() < most << 20, store.used()
+    assert len(store.load()) == 22
+    store.close()
+
+
+@then("a core tells one who pulls from any version exactly the roll-outs that changed since")
+def _(context: Any) -> None:
+    """Beside a plain model that remembers all that ever was."""
+    from umbermoor.gateway.mast.core import Core
+
+    chance = random.Random(2)
+    core = Core(papers_from(SETTINGS.format(path=folder(context)).encode()), chance)
+    history: list[tuple[tuple[int, int], dict[str, Any]]] = [((0, 0), {})]
+    epoch, seq = 64, 0
+    for number in range(200):
+        records = dict(history[-1][1])
+        epoch, seq = (epoch + 64, 0) if chance.random() < 0.1 else (epoch, seq + chance.randrange(1, 3))
+        for _ in range(chance.choice((0, 1, 3))):
+            records[f"rollout/s{chance.randrange(6)}"] = {
+                "order": 1, "serial": number, "target": "v2", "from": ["v1"], "rampS": 10, "state": "running",
+                "stage": 0, "elapsed": 0.0, "why": ""}
+        history.append(((epoch, seq), records))
+        if chance.random() < 0.3:
+            continue  # it never saw that version
+        core.member.committed = records | {"config": {"revision": number, "text": "{}"}}
+        core.member.version = epoch, seq
+        core.carry([])
+        for version, held in history:
+            told = core.since(version)
+            assert held | told == records, (version, told)
+            if version == (epoch, seq):
+                assert not told
+    core.store.close()
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -1209,6 +1209,16 @@
             puts = {f"state/{key}": write_json(value) for key, value in self._state.items()}
             self._disk.want(puts, "probe", _nothing)
 
+    def mend(self, now: int, records: Sequence[str]) -> list[Effect] | None:
+        """Write these records again, as they are held here; None if there is one that is no value of the map."""
+        self._at(now)
+        keys = [record.removeprefix("state/") for record in records]
+        if any(key == record or key not in self._state for key, record in zip(keys, records)):
+            return None
+        puts = {f"state/{key}": write_json(self._state[key]) for key in keys}
+        self._disk.want(puts, "mend", _nothing)
+        return self._effects()
+
     def _catch_up(self) -> None:
         if self._serving() or self._blank and self.counted or self._now - self._fetched < FETCH:
             return
--- a/umbermoor/gateway/barograph/store.py
+++ b/umbermoor/gateway/barograph/store.py
@@ -108,6 +108,27 @@
             self.full = errno.ENOSPC in (getattr(error, "errno", 0), getattr(error, "code", 0))
         return False
 
+    def sweep(self) -> list[str] | None:
+        """The records that are no longer what was written, by the digests kept in memory; None if the pages no longer
+        hang together. Beside writes, as they are, one at a time."""
+        if not self._lmdb or self._unformatted:
+            return []
+        try:
+            pages.check(self._file(DATA))
+            with self._lmdb.begin() as reading:
+                held = {bytes(key): bytes(value) for key, value in reading.cursor()}
+        except (pages.Torn, lmdb.Error, OSError):
+            return None
+        held.pop(MANIFEST, None)
+        if held.keys() - self._digests.keys():
+            return None
+        return [key.decode() for key, mark in self._digests.items() if not self._stands(key, held.get(key, b""), mark)]
+
+    @staticmethod
+    def _stands(key: bytes, value: bytes, mark: int) -> bool:
+        told = mark.to_bytes(DIGEST, "big")
+        return value[-DIGEST:] == told == digest(key, value[:-DIGEST])
+
     def used(self) -> int:
         """Bytes of the file's pages that were ever in use."""
         return (self._lmdb.info()["last_pgno"] + 1) * self._lmdb.stat()["psize"] if self._lmdb else 0
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -38,6 +38,8 @@
 HANDS_OVER = 2.0  # s: how long a member that is told to end waits at most until the chain goes on without it
 CHANGE = 4.5  # s: a change of the members is answered by then
 LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
+FULL = b'{"error": "the disk is full: what is held stays and is read; a smaller one may be taken"}'
+SWEEP = 10 * SECOND  # us: from the end of a look at the disk to the next
 STATUS = {Code.OK: 200, Code.LATER: 503, Code.CLASH: 409, Code.WRONG: 422, Code.UNKNOWN: 404}
 MACHINES = "machines"
 KEY_MOST = 64  # characters of an order's key
@@ -59,6 +61,7 @@
         self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
         for entry in filter(None, map(entry_of, machines)):
             self.registry.take(self.now(), entry)
+        self.sweeps, self.mended, self.swept_at, self.sweeping = 0, 0, self.now(), False
         self.saved, self.saved_at, self.saving = self.registry.shape, 0, False
         self.pulls = Pulls(seeds, papers.ip)
         self.teller, self.steps, self.learnt = Teller(), Steps(), (0, 0)
@@ -68,7 +71,8 @@
         self.number = chance.getrandbits(40)  # an answer to an earlier life's question is none to this one's
         self.telling = False
         self.records: dict[str, Any] = {}  # what is committed beside the configuration,
-        self.pressing = (0, 0)  # and the version with which that last changed
+        self.changed: dict[str, tuple[int, int]] = {}  # since when each of it is as it is, at the latest,
+        self.pressing = (0, 0)  # and since when all of it
         self.leaving = 0  # until when it hands over, once it is told to end
         self.bodies: dict[str, bytes] = {}  # frames of the newest configuration, by the base they stand on
         self.bodies_of = 0  # its revision
@@ -100,6 +104,8 @@
         answer = await self.ask(lambda now, number: self.member.put(now, number, CONFIG, value))
         event("taken" if answer.code is Code.OK else "untaken", what="configuration", revision=body["revision"],
               code=answer.code.value, **self.outcome(answer))
+        if answer.code is Code.LATER and self.store.full:
+            return Reply(503, FULL, LATER.headers)
         return self.told(answer)
 
     @staticmethod
@@ -198,7 +204,9 @@
         return reply(200, {**self.member.story(), "machines": len(self.registry.entries),
                            "connected": self.member.connected, "pulls": len(self.teller.waiting),
                            "name": self.papers.name, "everyone": list(self.member.everyone),
-                           "lacks": self.carrier.lacks})
+                           "lacks": self.carrier.lacks, "disk": {
+                               "bytes": self.store.used(), "most": self.store.size, "full": self.store.full,
+                               "sweeps": self.sweeps, "mended": self.mended}})
 
     @call("GET", "/Machines")
     async def machines(self, ask: Call) -> Reply:
@@ -333,8 +341,11 @@
         if self.member.version != self.learnt:
             self.learnt = self.member.version
             records = {key: record for key, record in self.member.committed.items() if key != CONFIG}
-            if records != self.records:
-                self.records, self.pressing = records, self.learnt
+            changed = [key for key, record in records.items() if self.records.get(key) != record]
+            if changed:
+                self.pressing = self.learnt
+                self.changed.update(dict.fromkeys(changed, self.learnt))
+            self.records = records
             for key, record in records.items():
                 if key.startswith(ROLLOUT):
                     self.steps.record(self.now(), key[len(ROLLOUT):], record)
@@ -368,6 +379,30 @@
 
         asyncio.get_running_loop().run_in_executor(self.disk, self.store.write, puts).add_done_callback(done)
 
+    def sweep(self, now: int) -> None:
+        """Looks whether the disk still holds what was written; a value that does not is written again."""
+        if self.sweeping or now - self.swept_at < SWEEP or not self.store.open:
+            return
+        self.sweeping = True
+        asyncio.get_running_loop().run_in_executor(self.disk, self.store.sweep).add_done_callback(
+            lambda done: self.swept(done.result()))
+
+    def swept(self, rotten: list[str] | None) -> None:
+        self.sweeping, self.swept_at, self.sweeps = False, self.now(), self.sweeps + 1
+        if not rotten and rotten is not None:
+            return
+        values = [record for record in rotten or () if record != MACHINES]
+        effects = None if rotten is None else self.member.mend(self.now(), values)
+        if effects is None:
+            event("disk_lost", why=f"a sweep found it rotten: {'pages' if rotten is None else ','.join(rotten)}")
+            self.over.set()  # its start finds the same, and it is filled by the others
+            return
+        if MACHINES in (rotten or ()):
+            self.saved = -1  # written again
+        self.mended += len(rotten or ())
+        event("mended", records=",".join(rotten or ()))
+        self.carry(effects)
+
     def tell_soon(self) -> None:
         if not self.telling:
             self.telling = True
@@ -381,19 +416,22 @@
         revision = config["revision"] if config else 0
         callers = [line.peer for line in self.teller.waiting if line.peer not in member.everyone]
         fronts = callers if len(callers) <= FRONTS else self.chance.sample(callers, FRONTS)
-        keys = {key: value for key, value in member.committed.items() if key != CONFIG}
         for line, pull in self.teller.due(self.now(), registry.life, registry.urgent, member.version, revision,
                                           self.pressing):
             known = pull["number"] if pull["life"] == registry.life else -1
             line.send(frame({
                 "kind": "news", "life": registry.life, "number": registry.number, "machines": registry.after(known),
-                "register": list(member.version), "keys": keys if pull["register"] != list(member.version) else {},
+                "register": list(member.version), "keys": self.since(tuple(pull["register"])),
                 "everyone": list(member.sets.members), "set": member.sets.number, "head": self.head(),
                 "firm": self.connected(), "revision": revision,
                 "fronts": fronts}))
             if pull.get("want") and revision > pull["revision"]:
                 line.send(self.body(revision, config["text"], pull["base"]))
 
+    def since(self, version: tuple[int, int]) -> dict[str, Any]:
+        """What one who holds that version of the register lacks of it, beside the configuration."""
+        return {key: self.records[key] for key, when in self.changed.items() if when > version and key in self.records}
+
     def body(self, revision: int, text: str, base: Any) -> bytes:
         """The frame of the configuration, by what it changes for one who holds `base`, if that is held here too."""
         if self.bodies_of != revision:
@@ -458,6 +496,7 @@
                     self.carry(self.member.put(now, self.number, ROLLOUT + service, value))
             self.registry.tick(now, self.member.connected)
             self.save(now)
+            self.sweep(now)
             self.pulls.forget(now)
             if self.member.counted and {*self.pulls.sources, self.papers.ip} != {*self.member.everyone}:
                 self.pulls.members(self.member.everyone)
