--- a/tests/gateway/features/state.feature
+++ b/tests/gateway/features/state.feature
@@ -81,3 +81,6 @@
 
   Scenario: Fronts get what changed beside the configuration, and no more
     Then a core tells one who pulls from any version exactly the roll-outs that changed since
+
+  Scenario: A member that leads with what it holds, without asking who holds the newest, is caught
+    Then storms of members that lead without asking break a promise within 20 seeds
--- a/tests/gateway/features/steps/state_steps.py
+++ b/tests/gateway/features/steps/state_steps.py
@@ -13,8 +13,10 @@
 from behave import given, then, when
 
 from tests.gateway import stores
+from tests.gateway.world import Broken, storm
 from umbermoor.gateway.almanac.papers import papers_from
 from umbermoor.gateway.barograph import pages
+from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.store import DATA, DIGEST, MANIFEST, Later, Store, digest
 
 OLD = {"members": b'["a","b","c"]', "promise": b"16384", "view": b'[16384,["a","b"]]', "version": b"[16384,3]",
@@ -380,3 +382,25 @@
             if version == (epoch, seq):
                 assert not told
     core.store.close()
+
+
+class Unasking(Member):
+    """Takes its own state into a view, whatever those tell who promised."""
+
+    def _set_out(self, attempt: Any) -> None:
+        attempt.promises = {
+            who: promise if who == self.me or promise.blank else promise._replace(version=(0, 0), state=None)
+            for who, promise in attempt.promises.items()
+        }
+        super()._set_out(attempt)
+
+
+@then("storms of members that lead without asking break a promise within {seeds:d} seeds")
+def _(context: Any, seeds: int) -> None:
+    with patch("tests.gateway.world.Member", Unasking):
+        for seed in range(seeds):
+            try:
+                storm(seed, 3, 60)
+            except Broken:
+                return
+    raise AssertionError("nothing was caught")
