--- a/umbermoor/lab/sockets/nameserver.py
+++ b/umbermoor/lab/sockets/nameserver.py
@@ -5,6 +5,7 @@
 import dns.message
 import dns.rcode
 import dns.rrset
+from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
 
 from umbermoor.lab.sockets.common import LOOPBACK
@@ -54,7 +55,7 @@
             try:
                 self.tcp = reactor.listenTCP(self.port, factory, interface=LOOPBACK)
                 break
-            except OSError:
+            except CannotListenError:
                 self.udp.stopListening()
 
     @property
