--- a/tests/gateway/control.py
+++ b/tests/gateway/control.py
@@ -383,3 +383,76 @@
     def _on_put(self, sender: str, message: dict[str, Any]) -> None:
         self._taken = type(self._taken)()
         super()._on_put(sender, message)
+
+
+# one member cut off, or frozen, and what it answers meanwhile
+
+CALLS = "put", "repeat", "read", "order", "beat"
+
+
+@dataclass(frozen=True)
+class Seen:
+    """One call at the member in trouble; `at` and `after` in us from the start of the trouble."""
+
+    at: int
+    call: str
+    told: str  # unknown: 503, or no answer
+    after: int
+
+
+def troubled(place: str, way: str, span: int, members: int = 3, then: int = 4000 * MS) -> tuple[Control, list[Seen]]:
+    """The member at that place of the chain is cut off one way or both, or frozen, for `span`; operators go on at the
+    others; calls are made at it every 250 ms. A beat is told at once, from the lease."""
+    world = Control(members * 1000 + span // MS, members)
+    world.start_all()
+    if not world.run(30_000 * MS, world.whole):
+        raise Broken("not founded")
+    world.cold = False
+    world.run(3000 * MS)
+    chain = world.machines[world.names[0]].member.story()["chain"]
+    name = chain[{"head": 0, "middle": len(chain) // 2, "tail": -1}[place]]
+    others = [one for one in world.names if one != name]
+    world.ask_config(name, 1, "a")
+    world.run(300 * MS)
+    world.number = 1
+    began, seen, waiting = world.now, [], []
+    end = began + span + then
+
+    def elsewhere() -> None:
+        world.number += 1
+        world.ask_config(world.chance.choice(others), world.number, "a")
+        if world.now < end:
+            world.after(800 * MS, elsewhere)  # so that number 1 is known again all the while
+
+    def here() -> None:
+        at = world.now - began
+        for kind in CALLS:
+            if kind == "beat":
+                machine = world.machines[name]
+                if name not in world.frozen and machine.member:
+                    seen.append(Seen(at, kind, "told" if machine.member.connected_at(world.now) else "unknown", at))
+            elif kind == "read":
+                waiting.append((at, kind, world.ask_read(name)))
+            elif kind == "order":
+                waiting.append((at, kind, world.ask_rollout(name, "v2")))
+            else:
+                if kind == "put":
+                    world.number += 1
+                number = world.number if kind == "put" else 1
+                waiting.append((at, kind, world.ask_config(name, number, "a")))
+        if world.now < end:
+            world.after(250 * MS, here)
+
+    if way == "frozen":
+        world.freeze(name, span)
+    else:
+        cut(world, name, way)
+        world.after(span, world.cut.clear)
+    elsewhere()
+    here()
+    world.run(end - began + 1500 * MS)
+    for at, kind, asked in waiting:
+        told = asked.told if isinstance(asked.told, str) else "told"
+        seen.append(Seen(at, kind, told, (asked.ended or world.now) - began))
+    world.judge_history()
+    return world, sorted(seen, key=lambda one: one.at)
--- a/tests/gateway/features/control.feature
+++ b/tests/gateway/features/control.feature
@@ -82,3 +82,21 @@
       | Alone         | 60    |
       | Hasty         | 10    |
       | Twice         | 60    |
+
+  Scenario Outline: The <place> is in trouble for 20 s: <way>
+    Then the control's <place> in trouble "<way>" for 20 s tells nothing beyond its lease, and all again soon after
+
+    Examples:
+      | place  | way    |
+      | head   | to     |
+      | head   | from   |
+      | head   | both   |
+      | head   | frozen |
+      | middle | to     |
+      | middle | from   |
+      | middle | both   |
+      | middle | frozen |
+      | tail   | to     |
+      | tail   | from   |
+      | tail   | both   |
+      | tail   | frozen |
--- a/tests/gateway/features/steps/control_steps.py
+++ b/tests/gateway/features/steps/control_steps.py
@@ -7,11 +7,12 @@
 from behave import given, then
 
 from tests.gateway import control
-from tests.gateway.control import body, counts, storm, value
+from tests.gateway.control import CALLS, body, counts, storm, troubled, value
 from tests.gateway.linear import NEVER, Op, broken
 from tests.gateway.world import MS, Broken, World
 from umbermoor.gateway.anemometer.plan import ROLLOUT
 from umbermoor.gateway.anemometer.trial import ask, first_record, step
+from umbermoor.gateway.barograph.contact import LEASE
 from umbermoor.gateway.effects import Code, Outcome
 from umbermoor.gateway.logbook.orders import CONFIG, KNOWN, judge
 
@@ -165,3 +166,18 @@
         except Broken:
             return
     raise AssertionError(f"{how} was not found in {count} seeds")
+
+
+@then('the control\'s {place:w} in trouble "{way}" for {seconds:d} s tells nothing beyond its lease, and all again '
+      "soon after")
+def _(context, place, way, seconds):
+    end = seconds * 1000 * MS
+    _, seen = troubled(place, way, end)
+    for call in CALLS:
+        told = [one for one in seen if one.call == call and one.told != "unknown"]
+        within = LEASE if call == "beat" else 50 * MS  # what was under way already
+        assert all(one.after <= within or one.after >= end for one in told), (call, told)
+        back = [one for one in seen if one.call == call and one.at >= end + 1000 * MS]
+        assert back and all(one.told != "unknown" for one in back), (call, back)
+        assert call != "repeat" or {one.told for one in told} == {"same"}
+    assert way != "frozen" or all(one.told == "unknown" for one in seen if one.call == "beat" and one.at == end)
