--- /dev/null
+++ b/tests/gateway/features/answers.feature
@@ -0,0 +1,49 @@
+Feature: The answers
+  The right answer to the right caller, and nothing unsafe twice: the table, and the real front in a world that tries ways.
+
+  Scenario: the table of docs/answers.md is the code's
+    Then each row of the page's table says what the code decides, and none is missing
+
+  Scenario: whole answers are told apart by id, claim, stamp and length
+    Then an answer is taken for what a plain list of rules says, over all kinds of them
+
+  Scenario Outline: ways of <first> and <second> requests before <many> machines, with one trouble anywhere
+    Then the front keeps every rule in all ways of <first> and <second> requests before <many> machines with 1 trouble
+
+    Examples:
+      | first  | second       | many |
+      | safe   | unsafe       | 1    |
+      | safe   | unsafe       | 2    |
+      | unsafe | unsafe       | 1    |
+      | unsafe | unsafe       | 2    |
+      | safe   | safe         | 2    |
+      | safe   | unsafe, late | 1    |
+      | unsafe | unsafe, late | 2    |
+
+  Scenario Outline: ways with two troubles
+    Then the front keeps every rule in one of <every> ways of <first> and <second> requests before <many> machines with 2
+
+    Examples:
+      | first  | second       | many | every |
+      | safe   | unsafe       | 2    | 130   |
+      | unsafe | unsafe       | 1    | 70    |
+      | unsafe | unsafe, late | 1    | 70    |
+
+  Scenario Outline: a front that <sabotage> is found
+    Then a front that <sabotage> breaks <rule> in a way of <first> and <second> requests before <many> machines with <troubles>
+
+    Examples:
+      | sabotage                                            | rule    | first  | second       | many | troubles |
+      | sends again after a reset of a half written request | REFUSED | unsafe | unsafe       | 1    | 2        |
+      | sends again after a reset of a whole request        | TWICE   | unsafe | unsafe       | 2    | 1        |
+      | uses a connection with a surplus byte               | MIXED   | unsafe | unsafe       | 1    | 1        |
+      | reads on while a connection rests                   | MIXED   | unsafe | unsafe, late | 1    | 1        |
+      | answers by order alone                              | MIXED   | safe   | unsafe       | 2    | 1        |
+      | believes a word without id                          | TWICE   | unsafe | unsafe       | 1    | 1        |
+      | puts one id on a connection again                   | MIXED   | unsafe | unsafe       | 1    | 2        |
+      | takes a cut answer for whole                        | MIXED   | safe   | unsafe       | 2    | 1        |
+      | promises by hope                                    | REFUSED | unsafe | unsafe       | 2    | 1        |
+      | skips the gate before a new connection's send       | DRAIN   | safe   | unsafe       | 2    | 1        |
+
+  Scenario: ways drawn by chance, their bytes cut anywhere
+    Then the front keeps every rule in 400 ways that hypothesis draws, with bytes cut anywhere
--- a/umbermoor/gateway/vane/plants.py
+++ b/umbermoor/gateway/vane/plants.py
@@ -147,7 +147,7 @@
     def answered(self, now: int, plant: Plant, took: int) -> None:
         """A whole answer after `took` us."""
         service = plant.entry.service
-        usual = self.usual.get(service)
+        usual, took = self.usual.get(service), max(1, took)
         if usual is None:
             self.usual[service] = float(took)
         else:
--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -12,6 +12,7 @@
 LINE_MOST = 1024  # of the framing of chunks
 _SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?")
 _TRAILER = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:.*")
+_INNER = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 _CONTROLS = bytes({*range(32), 127} - {*b"\t\r\n"})  # in no line of a message
 
 
@@ -149,6 +150,8 @@
         head = self._run.part(0, end)
         if self._strict and len(head.translate(None, _CONTROLS)) != len(head):
             return Fault(400, "control characters")
+        if self._strict and self._responses and head.find(b"HTTP/1.", 1) > 0 and _INNER.search(head, 1):
+            return Fault(400, "an answer within a head")  # threat: one behind a part of another
         first, *lines = head.decode("latin-1").split("\r\n")
         line = (_RESPONSE if self._responses else _REQUEST).fullmatch(first)
         if line is None:
