--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -182,7 +182,7 @@
                 return Fault(400, "chunks in HTTP/1.0")
             if self._responses and line[2] == "101":
                 return Fault(400, "another protocol, and nobody asked for it")
-            if not self._responses and (line[1] == "CONNECT" or minor == "1" and "host" not in headers):
+            if not self._responses and (line[1] == "CONNECT" or "host" not in headers):
                 return Fault(400, "no host")
         keep = "close" not in asked and (minor == "1" or "keep-alive" in asked)
         self._head = (int(line[2]) if self._responses else (line[1], line[2]), headers, keep)
