--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -266,7 +266,7 @@
                 if heard.firm and ROLLOUT + service not in self.pulls.register:
                     self.trials.order(now, service, None)
                 self.trials.listed(now, service, [(one.id, one.entry.revision, one.listed)
-                                                  for one in self.plants.listed(service)])
+                                                  for one in self.plants.judged(service)])
             self.plants.changed.clear()
             self.sonde.heard_of(now, [one for one in message.get("fronts", ()) if isinstance(one, str)])
             if heard.want:
--- a/umbermoor/gateway/vane/plants.py
+++ b/umbermoor/gateway/vane/plants.py
@@ -92,6 +92,13 @@
     def listed(self, service: str) -> Iterable[Plant]:
         return self.services.get(service, {}).values()
 
+    def judged(self, service: str) -> list[Plant]:
+        """Those by which a version is judged: its ready ones, or, where it has none, the silent. A dead one that is
+        still listed would make a version's last machine seem one of several, and its failures that machine's own."""
+        listed = list(self.listed(service))
+        ready = {one.entry.revision for one in listed if one.entry.state == READY}
+        return [one for one in listed if one.entry.state == READY or one.entry.revision not in ready]
+
     def may(self, now: int, plant: Plant) -> bool:
         """The gate before every send: it is still listed, and not leaving."""
         return self.by_id.get(plant.id) is plant
