--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -113,3 +113,28 @@
     Then the register is whole within 2000 ms, and takes puts
     When member 1 of the register is ordered to replace member 2
     Then the order is refused: "10.0.0.3 runs a revision that knows no changes of the members"
+
+  Scenario: One that the platform started in the place of a lost member succeeds it
+    Given a register of 3 members with 3 spares that count by the platform's word
+    And the spares of the register stop
+    When member 2 of the register stops for 3000 ms
+    And member 5 of the register starts
+    Then within 2500 ms member 5 of the register is a member in the place of member 2, and none is thin
+    When member 2 of the register starts
+    And 5000 ms pass in the register
+    Then member 2 of the register is a learner, and answers LATER
+
+  Scenario Outline: Nobody is taken out by silence, whoever stands by
+    Given a register of 3 members with 3 spares that count by the platform's word
+    And the spares of the register stop
+    When <first>
+    And <second>
+    And 20000 ms pass in the register
+    Then the members of the register are the first ones
+
+    Examples:
+      | first                                              | second                                              |
+      | member 5 of the register starts                    | member 2 of the register stops for 3000 ms          |
+      | member 2 of the register stops for 3000 ms         | member 4 of the register starts                     |
+      | member 5 of the register starts                    | member 2 of the register is cut off                 |
+      | member 2 and member 3 of the register are cut off  | successors of both start beside the one that is left |
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -341,3 +341,51 @@
     call = world.calls[world.put(named(context, 3), "config/a")]
     assert world.run(800 * MS, lambda: call.answered is not None) and call.answered is Code.OK
     world.run(1500 * MS)
+
+
+@given("a register of {members:d} members with {spares:d} spares that count by the platform's word")
+def _(context: Any, members: int, spares: int) -> None:
+    context.sets = founded_sets(members, members, spares, succeed=True)
+
+
+@given("the spares of the register stop")
+def _(context: Any) -> None:
+    for name in context.sets.names[3:]:
+        context.sets.stop(name)
+    context.sets.run(2000 * MS)
+
+
+@then("within {ms:d} ms member {new:d} of the register is a member in the place of member {old:d}, and none is thin")
+def _(context: Any, ms: int, new: int, old: int) -> None:
+    world: Sets = context.sets
+    assert world.run(ms * MS, lambda: world.newest[1].number == 1 and world.whole()), world.newest
+    assert named(context, new) in world.members() and named(context, old) not in world.members()
+
+
+@when("member {number:d} of the register is cut off")
+def _(context: Any, number: int) -> None:
+    cut_off(context, [number])
+
+
+@when("member {one:d} and member {other:d} of the register are cut off")
+def _(context: Any, one: int, other: int) -> None:
+    cut_off(context, [one, other])
+
+
+@when("successors of both start beside the one that is left")
+def _(context: Any) -> None:
+    context.sets.run(3000 * MS)
+    for number in (5, 6):
+        context.sets.start(named(context, number))
+
+
+def cut_off(context: Any, numbers: list[int]) -> None:
+    world: Sets = context.sets
+    apart = {named(context, number) for number in numbers}
+    rest = set(world.names) - apart
+    world.cut |= {pair for one in apart for other in rest for pair in ((one, other), (other, one))}
+
+
+@then("the members of the register are the first ones")
+def _(context: Any) -> None:
+    assert context.sets.newest[1].number == 0 and context.sets.members() == context.sets.first
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -51,6 +51,8 @@
 READERS = 256
 BATCH = 16  # entries in a message
 LEARNERS = 8  # strangers that want to be members, known at once
+ZONE_TOLD = 8  # every so many pings
+GONE = 2000 * MS  # a member that nobody has heard for so long may be succeeded, by one that started after that
 CHANGE = 4000 * MS  # a change of the members that is not active by then is answered LATER
 
 Judge = Callable[[Mapping[str, Any], str, Any, int], Verdict]  # of the map at the head, a key, what is put, the epoch
@@ -74,7 +76,8 @@
 
     `me` and `seeds` are IP addresses, the seeds the same in the same order everywhere; the first of them founds.
     `bear`: disks that may be lost at once. `cold`: an empty disk is a new system's, not a lost one. `stored`: what
-    Store.load gave. `judge(map, key, value, epoch)` tells at the head what a put comes to.
+    Store.load gave. `judge(map, key, value, epoch)` tells at the head what a put comes to. `zone`, `quorum`: where it
+    runs, and whether it is a machine that counts by the platform's word: such a newcomer may succeed a member.
     """
 
     def __init__(
@@ -86,8 +89,11 @@
         stored: Mapping[str, bytes],
         judge: Judge,
         chance: random.Random,
+        zone: str = "",
+        quorum: bool = False,
     ) -> None:
         self.me, self.bear = me, bear
+        self._zone, self._quorum = zone, quorum
         self.everyone: tuple[str, ...] = tuple(json.loads(stored.get("members", b"[]")))
         self.committed: dict[str, Any] = {}
         self.version: Version = (0, 0)
@@ -102,7 +108,7 @@
         self._held_sets = membership.read(sets[0]) if sets[0] else first  # of the view that was accepted last
         self._proven: tuple[int, Membership] = (sets[1], membership.read(sets[2])) if sets[2] else (0, first)
         self._outside = Peers(me, LEARNERS)  # learners
-        self._change: tuple[int, int, str, str] | None = None  # ask, until when, add, remove
+        self._change: tuple[int | None, int, str, str] | None = None  # ask (None: by itself), until when, add, remove
         self._leaving = False
         self._fresh = cold and not self.everyone
         self._blank = not cold and not self.everyone
@@ -387,6 +393,8 @@
             "hears": self._hearing(),
             "number": self._proven[1].number,
             **({"leaving": True} if self._leaving else {}),
+            **({"zone": self._zone} if self._zone and (self._beat % ZONE_TOLD == 1 or not self.counted) else {}),
+            **({} if self.counted else {"quorum": self._quorum, "age": self._now - self._began}),
         }
 
     def _hearing(self) -> list[str]:
@@ -691,7 +699,34 @@
                 return who
         return ""
 
+    def _successor(self) -> tuple[str, str]:
+        """A newcomer and the one member whose place it takes; ("", ""): there is none.
+
+        Silence alone takes nobody out. The head does it where the platform has put another in that place: a machine
+        that counts, in the same zone, without a disk, started when the chain had long heard nothing of the member.
+        """
+        chain, members = self._view.chain, self.sets.members
+        missing = [who for who in members if who not in chain]
+        if not self._serving() or self._place() or len(missing) != 1 or not set(chain) <= set(members):
+            return "", ""
+        gone = self._peers.get(missing[0])
+        if gone is None or not gone.zone or self._now - gone.last < GONE:
+            return "", ""
+        others = [self._peers.get(who) for who in chain if who != self.me]
+        if any(peer is None or missing[0] in peer.ping["hears"] for peer in others):
+            return "", ""
+        for who in self.learners():
+            peer = self._outside.get(who)
+            fit = peer and peer.ping["blank"] and peer.ping.get("quorum") and peer.zone == gone.zone
+            if peer and fit and peer.last - peer.ping.get("age", 1 << 60) > gone.last + SILENCE:
+                return who, missing[0]
+        return "", ""
+
     def _go_on_changing(self) -> None:
+        if not self._change and not self._attempt:
+            add, remove = self._successor()
+            if add and not self.outlook(add, remove).why:
+                self._change = None, self._now + CHANGE, add, remove
         if not self._change:
             return
         ask, until, add, remove = self._change
@@ -707,6 +742,8 @@
             self._propose(frozenset(), self.sets.changed(add, remove), add)
             return
         self._change = None
+        if ask is None:  # nobody asked
+            self._out.pop()
 
     # agreeing on one
 
--- a/umbermoor/gateway/barograph/peers.py
+++ b/umbermoor/gateway/barograph/peers.py
@@ -21,6 +21,7 @@
     ping: dict[str, Any]
     joined: int = 0  # the epoch that it was last heard to be in, well
     joined_at: int = 0
+    zone: str = ""  # as last told
 
     @property
     def committed(self) -> Version:
@@ -49,6 +50,7 @@
                 peer.since = now
             new = new or now - peer.last > SILENT
             peer.last, peer.ping = now, ping
+        peer.zone = ping.get("zone", peer.zone)
         if ping["well"] and ping["joined"] >= peer.joined:  # a lower one is of an earlier life, or newly started
             peer.joined, peer.joined_at = ping["joined"], now
         return new
--- a/umbermoor/gateway/barograph/words.py
+++ b/umbermoor/gateway/barograph/words.py
@@ -28,6 +28,10 @@
     return type(value) is str and 0 < len(value) <= 64
 
 
+def zone(value: Any) -> bool:
+    return type(value) is str and len(value) <= 64
+
+
 def names(value: Any) -> bool:
     return type(value) is list and len(value) <= 64 and all(map(name, value)) and len(set(value)) == len(value)
 
@@ -145,6 +149,9 @@
         "number": number,  # of the latest set known to be in force
         "system": number,  # 0: none yet; not told to a member that has its disk
         "leaving": flag,  # it is about to end, in order
+        "zone": zone,  # now and then
+        "quorum": flag,  # of a learner: it is a machine that counts, by the platform's word
+        "age": number,  # of a learner: us since its start
         "sets": proven,  # that set, for one that does not know it
     },
     "found": {"system": number},
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -54,7 +54,8 @@
         if self.store.lost:  # a disk that can't be believed is one that was lost, and no new system's
             event("disk_lost", why=self.store.lost)
         cold = papers.cold and not self.store.lost
-        self.member = Member(papers.ip, seeds, papers.bear_machines, cold, stored, judge, chance)
+        self.member = Member(papers.ip, seeds, papers.bear_machines, cold, stored, judge, chance, papers.zone,
+                             papers.quorum)
         self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
         for entry in filter(None, map(entry_of, machines)):
             self.registry.take(self.now(), entry)
