--- a/tests/gateway/features/heliograph.feature
+++ b/tests/gateway/features/heliograph.feature
@@ -27,3 +27,7 @@
 
   Scenario: a reader of news that stood still believes nothing that may have lain there
     Then a reader of news that stood still counts answers to pulls from before as not firm, and takes their facts
+
+  Scenario: a reader of news follows the members' set
+    Then a reader of news takes a later set also from one that was taken out, and no earlier one
+    And a reader of news to whom nobody has spoken for 11 s asks its seeds again, those named later too
--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -138,3 +138,13 @@
       | member 2 of the register stops for 3000 ms         | member 4 of the register starts                     |
       | member 5 of the register starts                    | member 2 of the register is cut off                 |
       | member 2 and member 3 of the register are cut off  | successors of both start beside the one that is left |
+
+  Scenario: A newcomer whose seeds are all gone comes by an operator's order
+    Given a register of 3 members with 1 spares
+    When the spare starts anew, with seeds that nobody is at
+    And 2000 ms pass in the register
+    Then no member counts the spare among its learners
+    When member 1 of the register is ordered to replace member 2
+    And 2500 ms pass in the register
+    And member 1 of the register is ordered to replace member 2
+    Then the order is done, and no member is thin
--- a/tests/gateway/features/steps/heliograph_steps.py
+++ b/tests/gateway/features/steps/heliograph_steps.py
@@ -272,3 +272,30 @@
         reader.pull(later, name)
         assert reader.news(later + MS, name, news(reader, later, name, register=[5, 1])).firm
     assert reader.firm_since(later)
+
+
+@then("a reader of news takes a later set also from one that was taken out, and no earlier one")
+def _(context):
+    reader = Reader(["a", "b", "c"])
+    reader.news(0, "a", news(reader, 0, "a"))
+    reader.news(1, "b", news(reader, 1, "b", everyone=["b", "c", "d"], set=1))
+    assert set(reader.sources) == {"b", "c", "d"}
+    reader.news(2, "c", news(reader, 2, "c"))
+    reader.news(3, "c", news(reader, 3, "c", firm=False, everyone=["x"], set=1))
+    assert reader.everyone == ("b", "c", "d")
+    reader.news(4, "b", news(reader, 4, "b", firm=False, everyone=["c", "d", "e"], set=2))
+    assert reader.everyone == ("c", "d", "e") and not reader.firm_since(0)
+
+
+@then("a reader of news to whom nobody has spoken for {s:d} s asks its seeds again, those named later too")
+def _(context, s):
+    reader = Reader(["a", "b", "c"])
+    assert set(reader.due(0)) == {"a", "b", "c"}
+    reader.news(1, "a", news(reader, 1, "a", everyone=["d", "e", "f"], set=4))
+    reader.meet("g")
+    for name in reader.due(2):
+        reader.pull(2, name)
+    assert set(reader.sources) == {"d", "e", "f"}
+    assert set(reader.due(s * 1000 * MS)) == {"a", "b", "c", "d", "e", "f", "g"}
+    reader.news(s * 1000 * MS, "g", news(reader, s * 1000 * MS, "g", everyone=["g", "h", "i"], set=7))
+    assert set(reader.sources) == {"g", "h", "i"}
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -389,3 +389,13 @@
 @then("the members of the register are the first ones")
 def _(context: Any) -> None:
     assert context.sets.newest[1].number == 0 and context.sets.members() == context.sets.first
+
+
+@when("the spare starts anew, with seeds that nobody is at")
+def _(context: Any) -> None:
+    world: Sets = context.sets
+    world.lose_disk("10.0.0.100")
+    world.run(1500 * MS)
+    seeds, world.seeds = world.seeds, ["10.9.9.1", "10.9.9.2"]
+    world.start("10.0.0.100")
+    world.seeds = seeds
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -236,6 +236,8 @@
         elif self._is_so(add, remove):
             self._out.append(Answer(ask, Code.OK, self.outlook("", "")._replace(why="").told()))
         elif (look := self.outlook(add, remove)).why or dry:
+            if add and words.name(add) and add not in (*self.everyone, *self._outside.heard(self._now)):
+                self._send(add, "ping", **self._ping(), **self._sets_for(add))  # its seeds may all be gone
             self._out.append(Answer(ask, Code.CLASH if look.why else Code.OK, look.told()))
         elif self._change:
             self._out.append(Answer(ask, Code.CLASH, {"why": "another change is under way"}))
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -42,6 +42,8 @@
         self.me, self.told, self.set = me, False, 0  # `set`: number of the members' set that `everyone` is
         self.sources = {seed: Source() for seed in seeds if seed != me}
         self.everyone: tuple[str, ...] = tuple(seeds)
+        self._seeds = dict.fromkeys(seeds)
+        self._heard_at: int | None = None
         self.machines: dict[str, Entry] = {}
         self._away: dict[str, int] = {}  # since when those are not ready
         self.version: tuple[int, int] = (0, 0)  # of the register
@@ -55,6 +57,12 @@
     def due(self, now: int) -> list[str]:
         """Members to be asked now."""
         found = []
+        if self._heard_at is None:
+            self._heard_at = now
+        elif now - self._heard_at > ANEW:  # all members may have been replaced while this was cut off
+            for name in self._seeds:
+                if name != self.me:
+                    self.sources.setdefault(name, Source())
         for name, source in self.sources.items():
             if source.asked is not None and now - source.asked > LOST:
                 source.asked, source.next = None, now
@@ -102,7 +110,9 @@
         source.old = False
         if firm:
             source.firm = now
-        if members and firm and (number_of_set >= self.set or not self.firm_since(now - ANEW)):
+        self._heard_at = now
+        # a set above the one known is in force whoever tells of it, also one that was taken out of it
+        if members and (firm and not self.firm_since(now - ANEW) or number_of_set >= self.set + (not firm)):
             self.set = number_of_set
             self.members(members)
         changed = merged(filter(None, map(entry_of, entries if isinstance(entries, list) else [])), self.machines)
@@ -127,7 +137,8 @@
             source.old = source.old or source.asked is not None
 
     def meet(self, name: str) -> None:
-        """A seed that was named later; it counts only until members say who they are."""
+        """A seed that was named later; it is asked until members say who they are, and when all of them are silent."""
+        self._seeds[name] = None
         if not self.told and name != self.me:
             self.sources.setdefault(name, Source())
 
