--- a/tests/gateway/features/desk.feature
+++ b/tests/gateway/features/desk.feature
@@ -79,3 +79,15 @@
 
   Scenario: a barograph takes beats as printed, and with what is not needed left out
     Then a barograph takes a beat as printed, and one of the least, and one with more than is known
+
+  Scenario: a barograph refuses odd changes of the members
+    Then a barograph answers these changes of the members with 400
+      | body                                |
+      | x                                   |
+      | []                                  |
+      | {}                                  |
+      | {"add": 1}                          |
+      | {"add": "", "remove": ""}           |
+      | {"add": ["10.0.0.1"]}               |
+      | {"add": "10.0.0.1", "dry": "yes"}   |
+      | {"remove": null}                    |
--- a/tests/gateway/features/logbook.feature
+++ b/tests/gateway/features/logbook.feature
@@ -51,8 +51,18 @@
       | configuration read --to to.json  | GET /Config.Read         | 200 {"revision":"0000000c"}            | 0      | to.json: revision 0000000c |
       | machines                         | GET /Machines            | 200 {"machines":{"i-1":{"service":"a","address":"1.1.1.1:1","zone":"z","revision":"v1","capacity":1,"state":"ready","heardS":1.25}}} | 0 | i-1 a 1.1.1.1:1 z v1 ready 1.2 |
       | machines --service b             | GET /Machines            | 200 {"machines":{}}                    | 0      |                      |
+      | member list                      | GET /Members             | 200 {"set":2,"members":["a","b"],"chain":["a"],"learners":{"c":true},"thin":true,"bear":1,"connected":true} | 1 | c learner ready |
+      | member list                      | GET /Members             | 200 {"set":2,"members":["a"],"chain":["a"],"learners":{},"thin":false,"bear":0,"connected":true} | 0 | set=2 members=1 bear=0 thin=false |
+      | member replace a b --dry-run     | POST /Members.Change     | 200 {"number":3,"members":["b","c","d"],"up":["b","c"],"bears":0} | 0 | would be set=3 members=b,c,d up=2 of 3 bears=0 |
+      | member add b                     | POST /Members.Change     | 200 {"number":3,"members":["b"],"up":["b"],"bears":0} | 0 | in force: set=3 members=b up=1 of 1 bears=0 |
+      | member remove a                  | POST /Members.Change     | 200 {"number":3,"members":["b"],"up":["b"],"bears":0} | 0 | in force: set=3 |
       | story                            | GET /Story               | 200 {"epoch":7,"chain":["a","b"],"role":"out","version":[7,2],"machines":3,"connected":true,"name":"n"} | 0 | n epoch=7 chain=a,b role=out version=7.2 machines=3 connected=true |
 
+  Scenario: the command line says why a change of the members is refused
+    Given the command line meets a core that answers "POST /Members.Change" with "409 {"error":"would leave 1 of 2"}"
+    When the command line is "member remove a --at CORE"
+    Then the command line ends with 1 and complains in one line "with 409: would leave 1 of 2"
+
   Scenario Outline: the command line is refused with <told>
     Given the command line meets a core that answers "POST /Rollouts.Begin" with "<told>"
     When the command line is "rollout begin a v2 --ramp-s 3 --at CORE"
--- a/tests/gateway/features/steps/desk_steps.py
+++ b/tests/gateway/features/steps/desk_steps.py
@@ -5,7 +5,7 @@
 
 from behave import then
 
-from umbermoor.gateway.logbook.calls import BODY_MOST, Desk, call, reply
+from umbermoor.gateway.logbook.calls import BODY_MOST, Call, Desk, call, reply
 from umbermoor.gateway.mast.core import Core
 from umbermoor.gateway.screen.registry import DRAINING, GONE, READY, Registry
 
@@ -173,3 +173,12 @@
     assert asked(holder, "POST", "/Plants.Leave/i-3")[0] == 200
     assert {id: one.state for id, one in holder.registry.entries.items()} == {"i-1": GONE, "i-2": READY, "i-3": GONE}
     assert [one.id for one in holder.noted] == ["i-1", "i-2", "i-1", "i-1", "i-3"]  # what must not be lost
+
+
+@then("a barograph answers these changes of the members with 400")
+def _(context):
+    for row in context.table:
+        told = asyncio.run(Core.change(Holder(), Call("", row["body"].encode())))
+        assert told.status == 400, row["body"]
+    endless = json.dumps({"add": "1" * 65}).encode()
+    assert asyncio.run(Core.change(Holder(), Call("", endless))).status == 400
