--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -148,3 +148,28 @@
     And 2500 ms pass in the register
     And member 1 of the register is ordered to replace member 2
     Then the order is done, and no member is thin
+
+  Scenario: A learner holds on its disk what it is to be taken in with
+    Given a register of 3 members with 1 spares
+    When puts are made in the register for 1000 ms
+    And 1500 ms pass in the register
+    Then the disk of the spare holds what is committed
+    When the spare is killed and starts
+    Then the spare is a learner, and no member takes it for one that is ready
+    When 2500 ms pass in the register
+    And member 1 of the register is ordered to replace member 2
+    Then the order is done, and no member is thin
+
+  Scenario: What a learner held does not come into a system that is founded anew
+    Given a register of 3 members with 1 spares
+    When puts are made in the register for 1000 ms
+    And 1500 ms pass in the register
+    And the disk of the spare comes to a member of a new system
+    Then the new system holds nothing
+
+  Scenario: A newcomer whose disk does not write is not taken in
+    Given a register of 3 members with 1 spares
+    When the disk of the spare hangs
+    And puts are made in the register for 2500 ms
+    And member 1 of the register is ordered to replace member 2
+    Then the order is refused: "10.0.0.100 is not ready: no learner of this system that all of the chain hear, filled and well"
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -399,3 +399,54 @@
     seeds, world.seeds = world.seeds, ["10.9.9.1", "10.9.9.2"]
     world.start("10.0.0.100")
     world.seeds = seeds
+
+
+@when("puts are made in the register for {ms:d} ms")
+def _(context: Any, ms: int) -> None:
+    world: Sets = context.sets
+    for at in range(0, ms, 50):
+        world.after(at * MS, lambda: world.put(named(context, 1), "config/a"))
+    world.run(ms * MS)
+
+
+@then("the disk of the spare holds what is committed")
+def _(context: Any) -> None:
+    held = context.sets.machines[named(context, 1)].member.committed
+    disk = context.sets.machines["10.0.0.100"].disk
+    assert held and "view" not in disk
+    assert {key: json.loads(value) for key, value in disk.items() if key.startswith("state/")} == {
+        f"state/{key}": value for key, value in held.items()
+    }
+
+
+@when("the spare is killed and starts")
+def _(context: Any) -> None:
+    context.sets.stop("10.0.0.100")
+    context.sets.start("10.0.0.100")
+    context.sets.run(300 * MS)
+
+
+@then("the spare is a learner, and no member takes it for one that is ready")
+def _(context: Any) -> None:
+    assert context.sets.machines["10.0.0.100"].member.story()["role"] == "learner"
+    assert all(context.sets.machines[name].member.learners() == [] for name in context.sets.first)
+
+
+@when("the disk of the spare hangs")
+def _(context: Any) -> None:
+    context.sets.machines["10.0.0.100"].mode = "hangs"
+
+
+@when("the disk of the spare comes to a member of a new system")
+def _(context: Any) -> None:
+    context.new = Sets(9, 3, 0)
+    context.new.machines["10.0.0.1"].disk = dict(context.sets.machines["10.0.0.100"].disk)
+    assert any(key.startswith("state/") for key in context.new.machines["10.0.0.1"].disk)
+    context.new.start_all()
+    assert context.new.run(3000 * MS, context.new.whole)
+
+
+@then("the new system holds nothing")
+def _(context: Any) -> None:
+    for machine in context.new.machines.values():
+        assert machine.member.committed == {} and not any(key.startswith("state/") for key in machine.disk)
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -114,6 +114,7 @@
         self._outside = Peers(me, LEARNERS)  # learners
         self._change: tuple[int | None, int, str, str] | None = None  # ask (None: by itself), until when, add, remove
         self._leaving = False
+        self._filled = False  # a learner's disk has taken what it learnt
         self._fresh = cold and not self.everyone
         self._blank = not cold and not self.everyone
         self._pinged = -PING
@@ -135,6 +136,10 @@
         self._entered = 0  # that, synced
         self._synced = self._last
 
+        if self._fresh and self._state:  # what a learner of another system held
+            self._disk.want({f"state/{key}": None for key in self._state}, "emptied", _nothing)
+            self._state = {}
+
         # founding, and being filled
         self._settlers: set[str] = set()
         self._found_at, self._grown_at = 0, 0
@@ -397,7 +402,7 @@
             "beat": self._beat,
             "fresh": self._fresh,
             "blank": self._blank,
-            "ready": self._ready(),
+            "ready": self._ready() and (self.counted or self._filled),
             "well": self._disk.well(self._now),
             "members": list(self._proven[1].members),
             "promise": self._floor() if self._blank else self._promise,
@@ -958,6 +963,8 @@
         puts["promise"] = write_json(view.epoch)
         puts["view"] = write_json(view)
         puts["version"] = write_json((view.epoch, 0))
+        if self._blank:
+            puts["learner"] = None
         if self._attempt and self._attempt.epoch < view.epoch:
             self._attempt = None
         self._promise = self._joined = view.epoch
@@ -1241,6 +1248,20 @@
             self._commit(version[1])
         if version > self.version and version[0] != self._joined:
             self.committed, self.version = dict(state), version
+            if self._blank and not self.counted:
+                self._fill(version, state)
+
+    def _fill(self, version: Version, state: Mapping[str, Any]) -> None:
+        """A learner keeps what it learns: that shows that its disk writes, and who is taken in writes little then."""
+        puts: dict[str, bytes | None] = {f"state/{key}": None for key in self._state if key not in state}
+        for key, value in state.items():
+            if key not in self._state or self._state[key] != value:
+                puts[f"state/{key}"] = write_json(value)
+        self._state = dict(state)
+        self._disk.want({**puts, "learner": write_json(version)}, "fill", self._have_filled)
+
+    def _have_filled(self) -> None:
+        self._filled = True
 
     def _probe_disk(self) -> None:
         """See whether a disk that was slow still is, by what a change writes, as long as nobody waits for it."""
