--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -709,9 +709,9 @@
         due = self._now + delay
         self._due = due if cause != self._cause else min(self._due, due)
         self._cause = cause
-        mutual = [who for who in self.everyone if self._peers.mutual(self._now, self.me, who)]
-        if cause and self._now >= self._due and self.sets.quorum(mutual):
-            self._propose(shunned)
+        if cause and self._now >= self._due:
+            if self.sets.quorum([who for who in self.everyone if self._peers.mutual(self._now, self.me, who)]):
+                self._propose(shunned)
 
     # a change of the members
 
@@ -731,9 +731,11 @@
         Silence alone takes nobody out. The head does it where the platform has put another in that place: a machine
         that counts, in the same zone, without a disk, started when the chain had long heard nothing of the member.
         """
+        if not self._serving() or self._place() or len(self._view.chain) == len(self.sets.new):
+            return "", ""
         chain, members = self._view.chain, self.sets.members
         missing = [who for who in members if who not in chain]
-        if not self._serving() or self._place() or len(missing) != 1 or not set(chain) <= set(members):
+        if len(missing) != 1 or not set(chain) <= set(members):
             return "", ""
         gone = self._peers.get(missing[0])
         if gone is None or not gone.zone or self._now - gone.last < GONE:
