--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -124,6 +124,14 @@
     And 5000 ms pass in the register
     Then member 2 of the register is a learner, and answers LATER
 
+  Scenario: No change puts a majority into one zone
+    Given a register of 3 members with 3 spares that count by the platform's word
+    When 1500 ms pass in the register
+    And member 1 of the register is ordered to replace member 2
+    Then the order is refused: "would leave a majority in zone z0, where none is now"
+    When member 2 of the register is ordered to replace member 1
+    Then the order is done, and no member is thin
+
   Scenario Outline: Nobody is taken out by silence, whoever stands by
     Given a register of 3 members with 3 spares that count by the platform's word
     And the spares of the register stop
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -15,7 +15,7 @@
 from umbermoor.gateway.barograph.asks import Asks, Taken
 from umbermoor.gateway.barograph.contact import GAP, Contact, Rounds
 from umbermoor.gateway.barograph.disk import Disk
-from umbermoor.gateway.barograph.membership import NONE, Membership, Outlook
+from umbermoor.gateway.barograph.membership import NONE, Membership, Outlook, crowded
 from umbermoor.gateway.barograph.peers import STEADY, Peer, Peers
 from umbermoor.gateway.barograph.view import (
     MOST,
@@ -255,10 +255,17 @@
         """What a change would leave, and why it would be refused."""
         present = self.sets
         look = membership.outlook(present, self._view.chain, self.learners(), add, remove, self.bear)
+        if not look.why and (zone := crowded(present.members, look.members, self._zones())):
+            look = look._replace(why=f"would leave a majority in zone {zone}, where none is now")
         if not look.why and (old := self._of_an_earlier_revision()):
             look = look._replace(why=f"{old} runs a revision that knows no changes of the members")
         return look
 
+    def _zones(self) -> dict[str, str]:
+        names = *self.everyone, *self._outside.names()
+        known = {who: self._peers.get(who) or self._outside.get(who) for who in names}
+        return {self.me: self._zone} | {who: peer.zone for who, peer in known.items() if peer}
+
     def learners(self) -> list[str]:
         """Strangers that could be taken in now: heard by the chain and hearing it, steadily, well, and to be filled."""
         found = []
--- a/umbermoor/gateway/barograph/membership.py
+++ b/umbermoor/gateway/barograph/membership.py
@@ -7,7 +7,8 @@
 """
 
 import hashlib
-from typing import Any, Collection, Iterable, NamedTuple, Sequence
+from collections import Counter
+from typing import Any, Collection, Iterable, Mapping, NamedTuple, Sequence
 
 MOST = 64  # members, and ranks
 
@@ -110,6 +111,20 @@
                 **({"why": self.why} if self.why else {})}
 
 
+def crowded(before: Sequence[str], after: Sequence[str], zones: Mapping[str, str]) -> str:
+    """The zone that would hold a majority after a change though none did before; "": none. Unknown zones count apart.
+
+    >>> zones = {"a": "north", "b": "east", "c": "west", "d": "east"}
+    >>> crowded("abc", "bcd", zones), crowded("abc", "acd", zones), crowded("bcd", "bd", zones)
+    ('east', '', '')
+    """
+    def fullest(members: Sequence[str]) -> str:
+        counts = Counter(zone for who in members if (zone := zones.get(who)))
+        return next((zone for zone, count in counts.items() if 2 * count > len(members) > 1), "")
+
+    return "" if fullest(before) else fullest(after)
+
+
 def outlook(present: Membership, chain: Sequence[str], ready: Collection[str], add: str, remove: str,
             bear: int) -> Outlook:
     """What a change of that settled set would leave; `chain`: of its active view, `ready`: learners.
--- a/umbermoor/gateway/barograph/peers.py
+++ b/umbermoor/gateway/barograph/peers.py
@@ -73,6 +73,9 @@
     def heard(self, now: int, within: int = SILENT) -> dict[str, Peer]:
         return {who: peer for who, peer in self._all.items() if now - peer.last <= within}
 
+    def names(self) -> tuple[str, ...]:
+        return tuple(self._all)
+
     def get(self, who: str) -> Peer | None:
         return self._all.get(who)
 
