--- a/tests/gateway/features/logbook.feature
+++ b/tests/gateway/features/logbook.feature
@@ -147,3 +147,24 @@
     And the command line left no process of those it started
     When the command line plays "local --stay" until it says "up until", and gets SIGKILL
     Then the command line left no process of those it started
+
+  Scenario: the command line looks at what is stored, and changes nothing
+    Given the command line has a store in "data"
+    When the command line is "state verify data"
+    Then the command line ends with 0 and says "data: sound, 2 records"
+    When the command line has a bit of the store in "data" flipped
+    And the command line is "state verify data"
+    Then the command line ends with 1 and complains in one line "is not what was written"
+    When the command line is "state verify absent"
+    Then the command line ends with 2 and complains in one line "absent"
+
+  Scenario: the command line writes the state out, and puts it into a new system
+    Given the command line has a sound configuration in "c.json"
+    And the command line meets a core that answers "GET /Config.Read" with what is in "c.json"
+    When the command line is "state export out.json --at CORE"
+    Then the command line ends with 0 and says "out.json: revision 0000000c, 0 roll-outs"
+    When the command line is "state import out.json --at CORE --dry-run"
+    Then the command line ends with 0 and says "routes: 0 added, 0 removed, 0 changed"
+    And the command line says "nothing was"
+    When the command line is "state import c.json --at CORE"
+    Then the command line ends with 2 and complains in one line "no export of this format"
--- a/tests/gateway/features/steps/logbook_steps.py
+++ b/tests/gateway/features/steps/logbook_steps.py
@@ -18,6 +18,7 @@
 
 from behave import given, then, when
 
+from umbermoor.gateway.barograph.store import Store
 from umbermoor.gateway.logbook import command
 
 SOUND = {
@@ -111,6 +112,25 @@
         context.add_cleanup(end)
 
 
+@given('the command line meets a core that answers "{call}" with what is in "{name}"')
+def _(context, call, name):
+    held = (folder(context) / name).read_text()
+    context.execute_steps(f'Given the command line meets a core that answers "{call}" with "200 {held}"')
+
+
+@given('the command line has a store in "{name}"')
+def _(context, name):
+    held = Store(str(folder(context) / name), 1 << 20)
+    assert held.write({"members": b'["a"]', "state/config": b'"the configuration"'})
+    held.close()
+
+
+@when('the command line has a bit of the store in "{name}" flipped')
+def _(context, name):
+    path = folder(context) / name / "data.mdb"
+    path.write_bytes(path.read_bytes().replace(b"the configuration", b"the bonfiguration"))
+
+
 @when('the command line is "{words}"')
 def _(context, words):
     cores = iter(getattr(context, "cores", ()))
--- a/umbermoor/gateway/__main__.py
+++ b/umbermoor/gateway/__main__.py
@@ -20,6 +20,7 @@
 
     from umbermoor.gateway.almanac.faults import Fault
     from umbermoor.gateway.almanac.papers import read_papers
+    from umbermoor.gateway.effects import Unreadable
     from umbermoor.gateway.mast import events
     path = os.environ.get("UMBERMOOR_SETTINGS", "/etc/umbermoor/settings.toml")
     papers = read_papers(path)
@@ -35,7 +36,11 @@
         from umbermoor.gateway.mast.front import serve
     else:
         from umbermoor.gateway.mast.core import serve
-    asyncio.run(serve(papers, path))
+    try:
+        asyncio.run(serve(papers, path))
+    except Unreadable as error:
+        print(f"settings: dataDir: {error}", file=sys.stderr)
+        return 2
     return 0
 
 
--- a/umbermoor/gateway/barograph/store.py
+++ b/umbermoor/gateway/barograph/store.py
@@ -21,6 +21,7 @@
 import lmdb
 
 from umbermoor.gateway.barograph import pages
+from umbermoor.gateway.effects import Unreadable
 
 FORMAT = 2  # 1: values alone, without digests or manifest; read, and written anew as 2
 MANIFEST = b"\0manifest"
@@ -39,10 +40,6 @@
     """What is stored does not hold together; says where."""
 
 
-class Later(Exception):
-    """A later revision wrote it: nothing is wrong with it, and nothing of it is touched."""
-
-
 class Store:
     """What is synced under one directory. `lost`: why what was held there counts as lost, "" if it does not.
 
@@ -194,7 +191,7 @@
                 raise Rotten(f"record {key!r} is not what was written")
             digests[key] = int.from_bytes(mark, "big")
         if numbered(held, "format") > FORMAT:
-            raise Later(f"{self.path}: format {numbered(held, 'format')}, and this revision reads up to {FORMAT}")
+            raise Unreadable(f"{self.path}: format {numbered(held, 'format')}, and this revision reads up to {FORMAT}")
         if held != manifest(digests, txn):
             raise Rotten("records are missing, or of another moment")
         self._digests = digests
@@ -261,6 +258,28 @@
 )
 
 
+FAULTS = (pages.Torn, Rotten, Unreadable, lmdb.Error)  # what a start would find
+
+
+def verify(path: str) -> tuple[int, int]:
+    """Looks at what is stored under `path` as a start would, and changes nothing: how many records, and their bytes. A
+    commit that is under way there may pass for a fault: look again. Raises FAULTS and OSError."""
+    file = os.path.join(path, DATA)
+    if not pages.check(file):
+        return 0, 0
+    held = lmdb.open(path, readonly=True, lock=False, max_dbs=0)
+    try:
+        with held.begin() as reading:
+            records = {bytes(key): bytes(value) for key, value in reading.cursor()}
+            txn = reading.id()
+    finally:
+        held.close()
+    looking = Store.__new__(Store)
+    looking.path = path
+    found = looking._prove(records, txn)
+    return len(found), sum(map(len, found.values()))
+
+
 def manifest(digests: Mapping[bytes, int], txn: int) -> bytes:
     """What stands under MANIFEST beside records of these digests, written by that commit; digested as they are."""
     total = sum(digests.values()) % (1 << 8 * DIGEST)
--- a/umbermoor/gateway/effects.py
+++ b/umbermoor/gateway/effects.py
@@ -55,3 +55,7 @@
 
 
 Effect = Send | Write | Answer
+
+
+class Unreadable(Exception):
+    """What is stored was written by a later revision: nothing is wrong with it, and nothing of it is touched."""
--- a/umbermoor/gateway/logbook/command.py
+++ b/umbermoor/gateway/logbook/command.py
@@ -18,6 +18,7 @@
 from umbermoor.gateway.almanac.papers import read_papers
 from umbermoor.gateway.logbook.caller import Caller, Nobody, Told
 
+EXPORT = 1  # format of an export
 LOOK = 0.5  # s between two looks at a roll-out
 
 
@@ -43,7 +44,8 @@
 configuration = App(name="configuration", help="The configuration in force.")
 rollout = App(name="rollout", help="Moves a service to another version of its machines.")
 member = App(name="member", help="The core's members: who counts in a majority, and changes of that.")
-for part in (check, configuration, rollout, member):
+state = App(name="state", help="What the core keeps: looked at on disk, written out, and put into a new system.")
+for part in (check, configuration, rollout, member, state):
     app.command(part)
 
 
@@ -363,6 +365,98 @@
     return Exit.DONE
 
 
+@state.command(name="verify")
+def state_verify(folder: Path) -> int:
+    """Looks at a member's dataDir as its start would, and changes nothing. Best while the member is stopped.
+
+    Parameters
+    ----------
+    folder
+        Its dataDir.
+    """
+    from umbermoor.gateway.barograph.store import FAULTS, verify
+    try:
+        records, size = verify(str(folder))
+    except FAULTS as error:
+        return _complain(f"{folder}: {error}", Exit.REFUSED)
+    except OSError as error:
+        return _complain(f"{folder}: {error.strerror or error}", Exit.BAD)
+    _say(f"{folder}: sound, {records} records of {size} bytes")
+    return Exit.DONE
+
+
+@state.command(name="export")
+def state_export(to: Path, *, at: At, within_s: Within = 8.0) -> int:
+    """Writes the newest configuration, byte for byte, and where roll-outs stand into a file.
+
+    Parameters
+    ----------
+    to
+        The file.
+    """
+    caller = Caller(at, within_s)
+    told = caller.call("GET", "/Config.Read")
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    rollouts = {}
+    for service in (_table(told.body) or {}).get("services", {}):
+        stands = caller.call("GET", f"/Rollouts.Read/{quote(service, safe='')}")
+        if isinstance(stands, Nobody) or not stands.done and stands.status != 404:
+            return _ended(stands)
+        if stands.done:
+            rollouts[service] = _table(stands.body)
+    held = {"format": EXPORT, "configuration": told.body.decode(), "rollouts": rollouts}
+    try:
+        to.write_text(json.dumps(held, indent=1) + "\n")
+    except OSError as error:
+        return _complain(f"{to}: {error.strerror}", Exit.BAD)
+    _say(f"{to}: revision {(_table(told.body) or {}).get('revision')}, {len(rollouts)} roll-outs")
+    return Exit.DONE
+
+
+@state.command(name="import")
+def state_import(file: Path, *, at: At, dry_run: bool = False, within_s: Within = 20.0) -> int:
+    """Puts an exported configuration, after saying what it changes. Roll-outs are said, to be ordered by hand.
+
+    Parameters
+    ----------
+    file
+        What `state export` wrote.
+    dry_run
+        Says what it would change, and puts nothing.
+    """
+    raw = _read_file(file)
+    table = None if isinstance(raw, Fault) else _table(raw)
+    if isinstance(raw, Fault) or table is None or table.get("format") != EXPORT:
+        return _complain(f"{file}: {raw if isinstance(raw, Fault) else 'no export of this format'}", Exit.BAD)
+    text = str(table.get("configuration", ""))
+    held = parse(text.encode())
+    if isinstance(held, Fault):
+        return _complain(f"{file}: configuration: {held}", Exit.BAD)
+    caller = Caller(at, within_s)
+    told = caller.call("GET", "/Config.Read")
+    if isinstance(told, Nobody) or not told.done and told.status != 404:
+        return _ended(told)
+    now = (_table(told.body) or {}) if told.done else {}
+    for kind in ("services", "routes"):
+        old, new = now.get(kind, {}), held.body[kind]
+        _say(f"{kind}: {len(new.keys() - old.keys())} added, {len(old.keys() - new.keys())} removed, "
+             f"{sum(old[name] != new[name] for name in new.keys() & old.keys())} changed")
+    revision = held.body["revision"]
+    if now and int(now["revision"], 16) >= held.revision and told.body != text.encode():
+        return _complain(f"in force is {now['revision']}, not below {revision}", Exit.REFUSED)
+    for service, stands in table.get("rollouts", {}).items():
+        _say(f"to be ordered by hand: {service} {stands.get('target')}, {stands.get('state')} at the export")
+    if dry_run:
+        _say(f"revision {revision} would be put; nothing was")
+        return Exit.DONE
+    put = caller.call("POST", "/Config.Replace", text.encode())
+    if isinstance(put, Nobody) or not put.done:
+        return _ended(put)
+    _say(f"taken by {put.at}: revision {revision}")
+    return Exit.DONE
+
+
 def main(tokens: list[str] | None = None) -> int:
     """Runs one command; returns its exit status. `tokens`: its words, else those of the process."""
     try:
