--- a/tests/gateway/features/state.feature
+++ b/tests/gateway/features/state.feature
@@ -84,3 +84,6 @@
 
   Scenario: A member that leads with what it holds, without asking who holds the newest, is caught
     Then storms of members that lead without asking break a promise within 20 seeds
+
+  Scenario: Members that hold different maps at one version find out, and others do not
+    Then of members that compare digests only those that differ at one version are told
--- a/tests/gateway/features/steps/state_steps.py
+++ b/tests/gateway/features/steps/state_steps.py
@@ -16,6 +16,7 @@
 from tests.gateway.world import Broken, storm
 from umbermoor.gateway.almanac.papers import papers_from
 from umbermoor.gateway.barograph import pages
+from umbermoor.gateway.barograph.compare import Compare
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.store import DATA, DIGEST, MANIFEST, Store, digest
 from umbermoor.gateway.effects import Unreadable
@@ -405,3 +406,21 @@
             except Broken:
                 return
     raise AssertionError("nothing was caught")
+
+
+@then("of members that compare digests only those that differ at one version are told")
+def _(context: Any) -> None:
+    held = {"config": {"revision": 1, "text": "{}"}, "rollout/a": {"order": 1}}
+    same = json.loads(json.dumps(dict(reversed(held.items()))))
+    flipped = json.loads(json.dumps(held).replace('"order": 1', '"order": 3'))
+    told = json.loads(json.dumps(Compare().tell((64, 2), held)))
+    one = Compare()
+    assert not one.heard("a", told, (64, 2), same) and one.compared == 1 and not one.differing
+    assert not one.heard("a", told, (64, 3), flipped) and one.compared == 1
+    other = Compare()
+    assert other.heard("a", told, (64, 2), flipped) and other.differing == {"a": (64, 2)}
+    assert not other.heard("a", told, (64, 2), flipped), "it is told once"
+    for junk in ({}, {"version": 1, "digest": "x"}, {"version": [64, 2], "digest": [1]},
+                 {"version": [0, 0], "digest": ""}):
+        assert not other.heard("b", junk, (64, 2), held) and not Compare().heard("b", junk, (0, 0), {})
+    assert not other.heard("a", Compare().tell((64, 4), held), (64, 4), same) and not other.differing
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -16,6 +16,7 @@
 from umbermoor.gateway.anemometer.plan import ROLLOUT
 from umbermoor.gateway.anemometer.trial import ask as asked_of
 from umbermoor.gateway.anemometer.trial import first_record, step
+from umbermoor.gateway.barograph.compare import Compare
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.store import Store
 from umbermoor.gateway.effects import Answer, Code, Effect, Send, Verdict, Write
@@ -62,6 +63,7 @@
         self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
         for entry in filter(None, map(entry_of, machines)):
             self.registry.take(self.now(), entry)
+        self.compare = Compare()
         self.sweeps, self.mended, self.swept_at, self.sweeping = 0, 0, self.now(), False
         self.saved, self.saved_at, self.saving = self.registry.shape, 0, False
         self.pulls = Pulls(seeds, papers.ip)
@@ -207,7 +209,8 @@
                            "name": self.papers.name, "everyone": list(self.member.everyone),
                            "lacks": self.carrier.lacks, "disk": {
                                "bytes": self.store.used(), "most": self.store.size, "full": self.store.full,
-                               "sweeps": self.sweeps, "mended": self.mended}})
+                               "sweeps": self.sweeps, "mended": self.mended},
+                           "compared": self.compare.compared, "differing": sorted(self.compare.differing)})
 
     @call("GET", "/Machines")
     async def machines(self, ask: Call) -> Reply:
@@ -310,6 +313,9 @@
                     self.steps.report(now, line.peer, report)
                 except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
                     event("garbled", what="report", source=line.peer, why=error)
+        elif kind == "digest" and line.peer in self.member.everyone:
+            if self.compare.heard(line.peer, message, self.member.version, self.member.committed):
+                event("differs", source=line.peer, version=message["version"])
         elif kind in ("chain", "holds"):
             body, frames = self.carrier.receive(line.peer, self.member.listens(line.peer), message)
             for one in frames:
@@ -390,6 +396,11 @@
 
     def swept(self, rotten: list[str] | None) -> None:
         self.sweeping, self.swept_at, self.sweeps = False, self.now(), self.sweeps + 1
+        if self.member.version > (0, 0):
+            told = self.compare.tell(self.member.version, self.member.committed)
+            for name in self.member.everyone:
+                if name != self.papers.ip:
+                    self.post.send(name, told)
         if not rotten and rotten is not None:
             return
         values = [record for record in rotten or () if record != MACHINES]
