--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -25,6 +25,11 @@
     When member 2 of the register has begun a change, and learns that member 1 has made another
     Then the promise of member 1 makes member 2 give its change up
 
+  Scenario: One that learns in the midst of an attempt that it was taken out gives it up
+    Given a register of 3 members with 2 spares
+    When member 2 of the register has begun a view, and the others promise it and tell of a set without it
+    Then member 2 of the register has sent no new view
+
   Scenario Outline: A change that would leave too little is refused
     Given a register of 3 members with 1 spares
     When member 3 of the register stops for 2000 ms
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -450,3 +450,27 @@
 def _(context: Any) -> None:
     for machine in context.new.machines.values():
         assert machine.member.committed == {} and not any(key.startswith("state/") for key in machine.disk)
+
+
+@when("member {number:d} of the register has begun a view, and the others promise it and tell of a set without it")
+def _(context: Any, number: int) -> None:
+    world: Sets = context.sets
+    name, context.sent = named(context, number), []
+    world.swallow = lambda sender, to, message: context.sent.append((sender, message["kind"])) or to == name
+    member = world.machines[name].member
+    before = member.sets
+    world.nudge(name)
+    world.run(20 * MS)
+    epoch = member._attempt.epoch
+    made = [epoch - 1, before.changed(add="10.0.0.100", remove=name).told()]
+    told = {"kind": "promise", "epoch": epoch, "blank": False, "version": [epoch - 1, 0], "state": {}, "held": made[1]}
+    for other in (*(one for one in world.first if one != name), "10.0.0.100"):
+        hears = [one for one in world.names if one != other]
+        world._arrive(other, name, json.dumps({**told, "hears": hears, "proven": made}))
+    world.run(300 * MS)
+
+
+@then("member {number:d} of the register has sent no new view")
+def _(context: Any, number: int) -> None:
+    assert (named(context, number), "prepare") in context.sent
+    assert (named(context, number), "newview") not in context.sent
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -860,7 +860,9 @@
     def _pursue(self) -> None:
         """Take an attempt as far as it goes now."""
         attempt = self._attempt
-        if not attempt or self.me not in attempt.promises:  # one's own promise is not synced
+        if attempt and self.me not in attempt.sets.names:  # it learnt that it was taken out: what it holds may be old
+            self._give_up()
+        elif not attempt or self.me not in attempt.promises:  # one's own promise is not synced
             if attempt and self._now - attempt.began >= COLLECT:
                 self._give_up()
         elif not attempt.chain:
