--- a/benchmarks/control_cuts.py
+++ b/benchmarks/control_cuts.py
@@ -5,7 +5,7 @@
 
 from cyclopts import App
 
-from tests.gateway.control import CALLS, troubled
+from tests.gateway.callers import CALLS, troubled
 from tests.gateway.world import MS
 
 app = App(help=__doc__)
--- a/tests/gateway/features/control.feature
+++ b/tests/gateway/features/control.feature
@@ -58,6 +58,8 @@
       | 0-1 5a ?, 2-3 read 5a, 4-5 read -               | broken  |
       | 0-1 5a ?, 2-3 4b older                          | sound   |
       | 0-1 4b older                                    | broken  |
+      | 0-1 3a ?, 0-1 5a ?, 2-3 2b older, 4-5 3a older  | sound   |
+      | 0-1 3a ?, 2-3 2b older, 4-5 3a older            | broken  |
       | 0-1 5a taken, 2-3 6a taken, 4-5 5a clash        | broken  |
       | 0-1 5a taken, 2-3 6a taken, 4-5 5b older        | broken  |
       | 0-9 5a taken, 1-2 read 5a, 3-4 5b clash         | sound   |
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -9,6 +9,7 @@
 PAUSE = 150_000  # us: after a pull that failed
 GAP = 60_000  # us: between a pull's answer and the next pull, so that changes come together
 FORGET = KEPT + 20_000_000  # us: a machine that has not been ready for so long is dropped
+ANEW = 10_000_000  # us: without word of a majority for so long, an older set of members is followed too: a system anew
 AGAIN = 700_000  # us: until another member is asked for the body of a configuration
 
 
@@ -38,7 +39,7 @@
     """Pulls from every known member. `everyone`: the core's members as last told; at first the seeds."""
 
     def __init__(self, seeds: Sequence[str], me: str = "") -> None:
-        self.me, self.told = me, False
+        self.me, self.told, self.set = me, False, 0  # `set`: number of the members' set that `everyone` is
         self.sources = {seed: Source() for seed in seeds if seed != me}
         self.everyone: tuple[str, ...] = tuple(seeds)
         self.machines: dict[str, Entry] = {}
@@ -47,6 +48,7 @@
         self.register: dict[str, Any] = {}
         self.revision = 0  # of the configuration held whole
         self.offered = 0  # and of the newest one heard of
+        self.base = ""  # digest of the one held: what is new may be told by what it changes
         self.head = ""  # the member where puts enter, as last told
         self._want_at = 0
 
@@ -68,8 +70,14 @@
                    "revision": self.revision}
         if self.offered > self.revision and now >= self._want_at:
             message["want"], self._want_at = True, now + AGAIN
+            if self.base:
+                message["base"] = self.base
         return message
 
+    def unusable(self) -> None:
+        """What a member told by what it changes did not come out: the next one is asked for whole."""
+        self.base, self._want_at = "", 0
+
     def failed(self, now: int, name: str) -> None:
         """The pull did not reach the member, or its connection broke."""
         if source := self.sources.get(name):
@@ -85,6 +93,7 @@
             version = (int(message["register"][0]), int(message["register"][1]))
             keys, members, firm = dict(message["keys"]), [str(one) for one in message["everyone"]], message["firm"]
             offered, head = int(message["revision"]), str(message["head"])
+            number_of_set = int(message.get("set", 0))
         except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             return None
         source.asked, source.life, source.number = None, life, number
@@ -93,7 +102,8 @@
         source.old = False
         if firm:
             source.firm = now
-        if members and firm:
+        if members and firm and (number_of_set >= self.set or not self.firm_since(now - ANEW)):
+            self.set = number_of_set
             self.members(members)
         changed = merged(filter(None, map(entry_of, entries if isinstance(entries, list) else [])), self.machines)
         for entry in changed:
@@ -156,7 +166,8 @@
         try:
             whole = {"life": int(message["life"]), "number": int(message["number"]),
                      "register": [int(message["register"][0]), int(message["register"][1])],
-                     "revision": int(message["revision"]), "want": message.get("want") is True}
+                     "revision": int(message["revision"]), "want": message.get("want") is True,
+                     "base": message.get("base")}
         except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             return
         self.waiting[line] = now + HOLD, whole
--- a/umbermoor/gateway/logbook/command.py
+++ b/umbermoor/gateway/logbook/command.py
@@ -42,7 +42,8 @@
 check = App(name="check", help="Says what is wrong with a file first, or that it is sound.")
 configuration = App(name="configuration", help="The configuration in force.")
 rollout = App(name="rollout", help="Moves a service to another version of its machines.")
-for part in (check, configuration, rollout):
+member = App(name="member", help="The core's members: who counts in a majority, and changes of that.")
+for part in (check, configuration, rollout, member):
     app.command(part)
 
 
@@ -177,7 +178,7 @@
 
 
 @rollout.command(name="begin")
-def rollout_begin(service: str, target: str, *, ramp_s: float, at: At, within_s: Within = 5.0) -> int:
+def rollout_begin(service: str, target: str, *, ramp_s: float, at: At, key: str = "", within_s: Within = 5.0) -> int:
     """Orders a roll-out.
 
     Parameters
@@ -188,8 +189,10 @@
         The version to move to.
     ramp_s
         Seconds that the move should take.
+    key
+        Tells this order from an earlier one of the same target; without, that target again is a repetition.
     """
-    body = json.dumps({"service": service, "target": target, "rampS": ramp_s}).encode()
+    body = json.dumps({"service": service, "target": target, "rampS": ramp_s} | ({"key": key} if key else {})).encode()
     told = Caller(at, within_s).call("POST", "/Rollouts.Begin", body)
     if isinstance(told, Told) and told.status == 409 and told.tries > 1:  # an earlier try got through, or another's
         _say(f"under way: {service}, as {told.at} says; see rollout read")
@@ -268,6 +271,80 @@
     return Exit.DONE if any(isinstance(held, dict) for held in found.values()) else Exit.NOBODY
 
 
+DryRun = Annotated[bool, Parameter(
+    name="--dry-run", negative=(), help="Only says what the change would leave, or why it would be refused.")]
+
+
+@member.command(name="list")
+def member_list(*, at: At, within_s: Within = 5.0) -> int:
+    """The set of members in force, then a line for each member and each learner.
+
+    thin: fewer losses can be borne now than the settings ask. Exit status 1 then, so that a script may wait for 0.
+    """
+    told = Caller(at, within_s).call("GET", "/Members")
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    held = _table(told.body) or {}
+    thin, chain = bool(held.get("thin")), held.get("chain") or ()
+    _say(f"set={held.get('set')} members={len(held.get('members') or ())} bear={held.get('bear')} "
+         f"thin={str(thin).lower()} connected={str(held.get('connected')).lower()}")
+    for name in held.get("members") or ():
+        _say(f"{name} member {'in the chain' if name in chain else 'out of the chain'}")
+    for name, ready in sorted((held.get("learners") or {}).items()):
+        _say(f"{name} learner {'ready' if ready else 'not ready'}")
+    return Exit.REFUSED if thin else Exit.DONE
+
+
+def _change(at: Iterable[str], within_s: float, add: str, remove: str, dry: bool) -> int:
+    body = json.dumps({"add": add, "remove": remove, "dry": dry}).encode()
+    told = Caller(tuple(at), within_s).call("POST", "/Members.Change", body)
+    if isinstance(told, Nobody) or not told.done:
+        return _ended(told)
+    held = _table(told.body) or {}
+    members, up = held.get("members") or (), held.get("up") or ()
+    _say(f"{'would be' if dry else 'in force:'} set={held.get('number')} members={','.join(members)} "
+         f"up={len(up)} of {len(members)} bears={held.get('bears')}")
+    return Exit.DONE
+
+
+@member.command(name="add")
+def member_add(new: str, *, at: At, dry_run: DryRun = False, within_s: Within = 10.0) -> int:
+    """Takes a learner into the set.
+
+    Parameters
+    ----------
+    new
+        Its IP address; `member list` shows it as ready.
+    """
+    return _change(at, within_s, new, "", dry_run)
+
+
+@member.command(name="remove")
+def member_remove(old: str, *, at: At, dry_run: DryRun = False, within_s: Within = 10.0) -> int:
+    """Takes a member out of the set; it may be stopped after that.
+
+    Parameters
+    ----------
+    old
+        Its IP address.
+    """
+    return _change(at, within_s, "", old, dry_run)
+
+
+@member.command(name="replace")
+def member_replace(old: str, new: str, *, at: At, dry_run: DryRun = False, within_s: Within = 10.0) -> int:
+    """Puts a learner in the place of a member, in one change.
+
+    Parameters
+    ----------
+    old
+        The member's IP address; it may be down, or lost for good.
+    new
+        The learner's.
+    """
+    return _change(at, within_s, new, old, dry_run)
+
+
 @app.command(name="machines")
 def machines(*, at: At, service: str | None = None, within_s: Within = 5.0) -> int:
     """A line for each machine that a member knows: id, service, address, zone, version, state, seconds since heard.
