--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -64,6 +64,7 @@
         self.buffers = Buffers(papers.memory_mb << 20)
         self.pool = Pool(self.buffers, self.clock, self.may)
         self.pulls = Pulls([seed.rpartition(":")[0] for seed in papers.seeds])
+        self.pulls.salt = chance.getrandbits(32)
         self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
         self.lines: set[ClientLine] = set()
         self.going: dict[int, Going] = {}  # by id of its slot
@@ -266,7 +267,7 @@
                 if heard.firm and ROLLOUT + service not in self.pulls.register:
                     self.trials.order(now, service, None)
                 self.trials.listed(now, service, [(one.id, one.entry.revision, one.listed)
-                                                  for one in self.plants.listed(service)])
+                                                  for one in self.plants.judged(service)])
             self.plants.changed.clear()
             self.sonde.heard_of(now, [one for one in message.get("fronts", ()) if isinstance(one, str)])
             if heard.want:
