--- a/umbermoor/gateway/mast/clients.py
+++ b/umbermoor/gateway/mast/clients.py
@@ -110,12 +110,17 @@
 
     def _go_on(self) -> None:
         """Starts what may be worked at now: what may repeat at once, anything else when it is its turn."""
-        alone = len(self.row) == 1
+        if len(self.row) == 1:  # by far the most
+            slot = self.row[0]
+            if not slot[2] and not self.slow:
+                slot[2] = True
+                self.front.came(self, slot, slot[0])
+            return
         for place, slot in enumerate(self.row[:ROW]):
             request, _, started = slot
             if request is None or self.slow:
                 return
-            ahead = not alone and self.front.may_repeat(request)  # and what is behind it need not wait for it
+            ahead = self.front.may_repeat(request)  # and what is behind it need not wait for it
             if not started:
                 if place and not ahead:
                     return
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -218,7 +218,8 @@
     def leave_out(self, going: Going) -> None:
         """Attempts that are out when a request ends may go on until its time is over, and no longer: of a machine that
         went dark nothing comes, not even an end."""
-        self.take_back(going)
+        if going.out:
+            self.take_back(going)
         if going.out:
             left = max(0, going.exchange.due - self.now()) / SECOND + OVERTIME
             asyncio.get_running_loop().call_later(left, self.give_up, going)
--- a/umbermoor/gateway/vane/answers.py
+++ b/umbermoor/gateway/vane/answers.py
@@ -9,7 +9,13 @@
                     "x-target-instance"))  # headers that mean nothing where they stand twice
 
 
-class Fate(Enum):
+class _Word(Enum):
+    """One of a set; told apart by what it is, which costs a request less than by its name."""
+
+    __hash__ = object.__hash__
+
+
+class Fate(_Word):
     """How an attempt at a machine ended."""
 
     WHOLE = "whole"  # a whole answer that belongs to it
@@ -24,7 +30,7 @@
 UNRUN = frozenset((Fate.FULL, Fate.WRONG, Fate.UNSENT, Fate.DROPPED))  # proved not to have run, and never to
 
 
-class Stage(Enum):
+class Stage(_Word):
     """How far an attempt and its line are. Told by this process alone: what its kernel took may be anywhere."""
 
     CONNECTING = "connecting"  # nothing was written
@@ -34,7 +40,7 @@
     RESTING = "resting"  # no attempt is on it
 
 
-class Event(Enum):
+class Event(_Word):
     UNREACHED = "unreached"  # refused, reset or timed out before anything was written
     BARRED = "barred"  # connected, and by now the machine may get nothing (drained, gone, its version barred)
     UNWANTED = "unwanted"  # its client left, another attempt was answered, or its client must be answered now
@@ -49,7 +55,7 @@
     SURPLUS = "surplus"  # any byte that nobody waits for
 
 
-class Line(Enum):
+class Line(_Word):
     REST = "rest"  # kept, where it is clean (see `clean`)
     CLOSE = "close"
     BREAK = "break"  # what waits to be written is not written
