--- a/benchmarks/answers_cost.py
+++ b/benchmarks/answers_cost.py
@@ -2,8 +2,8 @@
 
 Usage: python -m benchmarks.answers_cost [--base REVISION] [--this REVISION] [--plays N] [--requests N]
 
-Each play starts a process of either revision that holds the front alone; machines and clients are in this one. Eight
-clients send one request after the other, safe and unsafe by turns. Prints microseconds of processor time a request, each
+Each play starts a process of either revision with the front alone; machines and clients are in this one. Eight clients
+send one request after the other, safe and unsafe by turns. Prints microseconds of processor time a request, each
 play, the median of the pairs' ratios, and the ratio of the least. Without --this, the second one is this tree.
 """
 
--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -140,14 +140,15 @@
         return Response(first, headers, body, keep) if self._responses else Request(*first, headers, body, keep)
 
     def _read_head(self) -> Fault | None:
-        if not self._responses:
-            while self._run.part(0, 2) == b"\r\n":  # an empty line before a request is allowed
-                self._consume(2)
-        end = self._run.find(b"\r\n\r\n", self._at, HEAD_MOST)
+        held = self._run.part(0, HEAD_MOST) if not self._at else b""  # all in one piece, where none of it was looked at
+        while held[:2] == b"\r\n" and not self._responses:  # an empty line before a request is allowed
+            self._consume(2)
+            held = held[2:]
+        end = held.find(b"\r\n\r\n") if held else self._run.find(b"\r\n\r\n", self._at, HEAD_MOST)
         if end < 0:
             self._at = max(0, self._run.size - 3)
             return Fault(431, "head too large") if self._run.size >= HEAD_MOST else None
-        head = self._run.part(0, end)
+        head = held[:end] if held else self._run.part(0, end)
         if self._strict and len(head.translate(None, _CONTROLS)) != len(head):
             return Fault(400, "control characters")
         if self._strict and self._responses and head.find(b"HTTP/1.", 1) > 0 and _INNER.search(head, 1):
