--- a/benchmarks/capacity/measures.py
+++ b/benchmarks/capacity/measures.py
@@ -23,6 +23,7 @@
 from umbermoor.gateway.anemometer.plan import ROLLOUT
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.effects import Outcome, Send, Verdict, Write
+from umbermoor.gateway.heliograph.deltas import applied, delta, digest_of
 from umbermoor.gateway.heliograph.reader import Reader, Teller
 from umbermoor.gateway.mast.clients import answer_bytes, request_bytes
 from umbermoor.gateway.mast.post import frame
@@ -446,6 +447,40 @@
         del old
 
 
+TEXTS = (400, 1_400, 10_000, 40_000)  # beyond, a text is longer than a difference is made for
+
+
+def changed(size: int) -> tuple[str, str]:
+    """A configuration, and the same with one route moved to another service."""
+    old = configuration(size).decode()
+    body = json.loads(old)
+    body["revision"] = "00000008"
+    next(one for one in body["routes"].values() if "service" in one)["service"] = list(body["services"])[-1]
+    return old, json.dumps(body, separators=(",", ":"))
+
+
+@measure("the difference of a configuration with one route changed, bytes as sent", "bytes", "routes", TEXTS)
+def change_delta_bytes(size: int) -> Iterator[float]:
+    yield from [len(frame({"kind": "body", "text": delta(*changed(size))}))] * REPEATS
+
+
+@measure("the same, made", "us", "routes", TEXTS)
+def change_delta(size: int) -> Iterator[float]:
+    old, new = changed(size)
+    yield from timed(lambda: delta(old, new))
+
+
+@measure("the same, applied and proven", "us", "routes", TEXTS)
+def change_applied(size: int) -> Iterator[float]:
+    old, new = changed(size)
+    made, digest = delta(old, new), digest_of(new)
+
+    def act() -> None:
+        assert applied(old, made, digest) == new
+
+    yield from timed(act)
+
+
 @measure("one route's difference alone, bytes before pressing (trial of a way)", "bytes", "routes", ROUTES)
 def difference_bytes(size: int) -> Iterator[float]:
     name, route = next(iter(json.loads(configuration(size))["routes"].items()))
@@ -679,12 +714,13 @@
     """Bounds that the code sets, as they stand in it."""
     from umbermoor.gateway.anemometer import core as anemometer
     from umbermoor.gateway.barograph import asks, member, view
-    from umbermoor.gateway.heliograph import reader
+    from umbermoor.gateway.heliograph import deltas, reader
     from umbermoor.gateway.logbook import calls
     from umbermoor.gateway.mast import core, post
     from umbermoor.gateway.screen import registry as screen
     from umbermoor.gateway.sonde import fronts
-    return {"lines of a member or front": post.LINES, "frame": post.MOST, "call's body": calls.BODY_MOST,
+    return {"lines of a member or front": post.LINES, "frame": post.MOST, "text of a difference": deltas.MOST,
+            "call's body": calls.BODY_MOST,
             "partly read": post.HELD, "machines of a member": screen.MOST, "silent after periods": screen.SILENCE,
             "fronts known to a front": fronts.MEMBERS, "probe period": fronts.PERIOD,
             "fronts that report": anemometer.FRONTS, "members": view.MOST, "pull kept": reader.HOLD,
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -190,6 +190,10 @@
         "config pressed": read("bytes", of("change_pressed", size.routes)),
         "config rate": read("rate", size.changes * of("change_pressed", size.routes)),
         "config rate 60": read("rate", of("change_pressed", size.routes) / 60),
+        "delta bytes": read("bytes", of("change_delta_bytes", size.routes)),
+        "delta rate": read("rate", size.changes * of("change_delta_bytes", size.routes)),
+        "routes by text": figure(
+            model.limits["text of a difference"] / of("change_bytes", size.routes) * size.routes),
         "config slowest": f"{figure(of('change_pressed', size.routes) / 2000 / 60)} minutes",
         "difference": read("bytes", of("difference_bytes", size.routes)),
         "routes by body": figure(model.limits["call's body"] / (of("change_bytes", size.routes) / size.routes)),
