--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -341,3 +341,112 @@
     call = world.calls[world.put(named(context, 3), "config/a")]
     assert world.run(800 * MS, lambda: call.answered is not None) and call.answered is Code.OK
     world.run(1500 * MS)
+
+
+@given("a register of {members:d} members with {spares:d} spares that count by the platform's word")
+def _(context: Any, members: int, spares: int) -> None:
+    context.sets = founded_sets(members, members, spares, succeed=True)
+
+
+@given("the spares of the register stop")
+def _(context: Any) -> None:
+    for name in context.sets.names[3:]:
+        context.sets.stop(name)
+    context.sets.run(2000 * MS)
+
+
+@then("within {ms:d} ms member {new:d} of the register is a member in the place of member {old:d}, and none is thin")
+def _(context: Any, ms: int, new: int, old: int) -> None:
+    world: Sets = context.sets
+    assert world.run(ms * MS, lambda: world.newest[1].number == 1 and world.whole()), world.newest
+    assert named(context, new) in world.members() and named(context, old) not in world.members()
+
+
+@when("member {number:d} of the register is cut off")
+def _(context: Any, number: int) -> None:
+    cut_off(context, [number])
+
+
+@when("member {one:d} and member {other:d} of the register are cut off")
+def _(context: Any, one: int, other: int) -> None:
+    cut_off(context, [one, other])
+
+
+@when("successors of both start beside the one that is left")
+def _(context: Any) -> None:
+    context.sets.run(3000 * MS)
+    for number in (5, 6):
+        context.sets.start(named(context, number))
+
+
+def cut_off(context: Any, numbers: list[int]) -> None:
+    world: Sets = context.sets
+    apart = {named(context, number) for number in numbers}
+    rest = set(world.names) - apart
+    world.cut |= {pair for one in apart for other in rest for pair in ((one, other), (other, one))}
+
+
+@then("the members of the register are the first ones")
+def _(context: Any) -> None:
+    assert context.sets.newest[1].number == 0 and context.sets.members() == context.sets.first
+
+
+@when("the spare starts anew, with seeds that nobody is at")
+def _(context: Any) -> None:
+    world: Sets = context.sets
+    world.lose_disk("10.0.0.100")
+    world.run(1500 * MS)
+    seeds, world.seeds = world.seeds, ["10.9.9.1", "10.9.9.2"]
+    world.start("10.0.0.100")
+    world.seeds = seeds
+
+
+@when("puts are made in the register for {ms:d} ms")
+def _(context: Any, ms: int) -> None:
+    world: Sets = context.sets
+    for at in range(0, ms, 50):
+        world.after(at * MS, lambda: world.put(named(context, 1), "config/a"))
+    world.run(ms * MS)
+
+
+@then("the disk of the spare holds what is committed")
+def _(context: Any) -> None:
+    held = context.sets.machines[named(context, 1)].member.committed
+    disk = context.sets.machines["10.0.0.100"].disk
+    assert held and "view" not in disk
+    assert {key: json.loads(value) for key, value in disk.items() if key.startswith("state/")} == {
+        f"state/{key}": value for key, value in held.items()
+    }
+
+
+@when("the spare is killed and starts")
+def _(context: Any) -> None:
+    context.sets.stop("10.0.0.100")
+    context.sets.start("10.0.0.100")
+    context.sets.run(300 * MS)
+
+
+@then("the spare is a learner, and no member takes it for one that is ready")
+def _(context: Any) -> None:
+    assert context.sets.machines["10.0.0.100"].member.story()["role"] == "learner"
+    assert all(context.sets.machines[name].member.learners() == [] for name in context.sets.first)
+
+
+@when("the disk of the spare hangs")
+def _(context: Any) -> None:
+    context.sets.machines["10.0.0.100"].mode = "hangs"
+
+
+@when("the disk of the spare comes to a member of a new system")
+def _(context: Any) -> None:
+    context.new = Sets(9, 3, 0)
+    context.new.machines["10.0.0.1"].disk = dict(context.sets.machines["10.0.0.100"].disk)
+    assert any(key.startswith("state/") for key in context.new.machines["10.0.0.1"].disk)
+    context.new.start_all()
+    assert context.new.run(3000 * MS, context.new.whole)
+
+
+@then("the new system holds nothing")
+def _(context: Any) -> None:
+    for machine in context.new.machines.values():
+        assert machine.member.committed == {} and not any(key.startswith("state/") for key in machine.disk)
