--- a/tests/gateway/features/logbook.feature
+++ b/tests/gateway/features/logbook.feature
@@ -44,6 +44,7 @@
     Examples:
       | words                            | call                     | told                                   | status | said                 |
       | rollout begin a v2 --ramp-s 3    | POST /Rollouts.Begin     | 200                                    | 0      | a to v2              |
+      | rollout begin a v2 --ramp-s 3 --key b | POST /Rollouts.Begin | 200                                   | 0      | a to v2              |
       | rollout read a                   | GET /Rollouts.Read/a     | 200 {"state":"running","target":"v2"}  | 0      | a running v2         |
       | rollout watch a                  | GET /Rollouts.Read/a     | 200 {"state":"settled","target":"v2"}  | 0      | s a settled v2       |
       | rollout watch a                  | GET /Rollouts.Read/a     | 200 {"state":"reverted","target":"v2"} | 1      | s a reverted v2      |
--- a/umbermoor/gateway/logbook/command.py
+++ b/umbermoor/gateway/logbook/command.py
@@ -180,7 +180,7 @@
 
 
 @rollout.command(name="begin")
-def rollout_begin(service: str, target: str, *, ramp_s: float, at: At, within_s: Within = 5.0) -> int:
+def rollout_begin(service: str, target: str, *, ramp_s: float, at: At, key: str = "", within_s: Within = 5.0) -> int:
     """Orders a roll-out.
 
     Parameters
@@ -191,8 +191,10 @@
         The version to move to.
     ramp_s
         Seconds that the move should take.
+    key
+        Tells this order from an earlier one of the same target; without, that target again is a repetition.
     """
-    body = json.dumps({"service": service, "target": target, "rampS": ramp_s}).encode()
+    body = json.dumps({"service": service, "target": target, "rampS": ramp_s} | ({"key": key} if key else {})).encode()
     told = Caller(at, within_s).call("POST", "/Rollouts.Begin", body)
     if isinstance(told, Told) and told.status == 409 and told.tries > 1:  # an earlier try got through, or another's
         _say(f"under way: {service}, as {told.at} says; see rollout read")
