--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -15,7 +15,7 @@
 from umbermoor.gateway.barograph.asks import Asks, Taken
 from umbermoor.gateway.barograph.contact import GAP, Contact, Rounds
 from umbermoor.gateway.barograph.disk import Disk
-from umbermoor.gateway.barograph.membership import NONE, Membership, Outlook
+from umbermoor.gateway.barograph.membership import NONE, Membership, Outlook, crowded
 from umbermoor.gateway.barograph.peers import STEADY, Peer, Peers
 from umbermoor.gateway.barograph.view import (
     MOST,
@@ -51,6 +51,8 @@
 READERS = 256
 BATCH = 16  # entries in a message
 LEARNERS = 8  # strangers that want to be members, known at once
+ZONE_TOLD = 8  # every so many pings
+GONE = 2000 * MS  # a member that nobody has heard for so long may be succeeded, by one that started after that
 CHANGE = 4000 * MS  # a change of the members that is not active by then is answered LATER
 
 Judge = Callable[[Mapping[str, Any], str, Any, int], Verdict]  # of the map at the head, a key, what is put, the epoch
@@ -78,7 +80,8 @@
 
     `me` and `seeds` are IP addresses, the seeds the same in the same order everywhere; the first of them founds.
     `bear`: disks that may be lost at once. `cold`: an empty disk is a new system's, not a lost one. `stored`: what
-    Store.load gave. `judge(map, key, value, epoch)` tells at the head what a put comes to.
+    Store.load gave. `judge(map, key, value, epoch)` tells at the head what a put comes to. `zone`, `quorum`: where it
+    runs, and whether it is a machine that counts by the platform's word: such a newcomer may succeed a member.
     """
 
     def __init__(
@@ -90,8 +93,11 @@
         stored: Mapping[str, bytes],
         judge: Judge,
         chance: random.Random,
+        zone: str = "",
+        quorum: bool = False,
     ) -> None:
         self.me, self.bear = me, bear
+        self._zone, self._quorum = zone, quorum
         self.everyone: tuple[str, ...] = tuple(json.loads(stored.get("members", b"[]")))
         self.committed: dict[str, Any] = {}
         self.version: Version = (0, 0)
@@ -106,8 +112,9 @@
         self._held_sets = membership.read(sets[0]) if sets[0] else first  # of the view that was accepted last
         self._proven: tuple[int, Membership] = (sets[1], membership.read(sets[2])) if sets[2] else (0, first)
         self._outside = Peers(me, LEARNERS)  # learners
-        self._change: tuple[int, int, str, str] | None = None  # ask, until when, add, remove
+        self._change: tuple[int | None, int, str, str] | None = None  # ask (None: by itself), until when, add, remove
         self._leaving = False
+        self._filled = False  # a learner's disk has taken what it learnt
         self._fresh = cold and not self.everyone
         self._blank = not cold and not self.everyone
         self._pinged = -PING
@@ -129,6 +136,10 @@
         self._entered = 0  # that, synced
         self._synced = self._last
 
+        if self._fresh and self._state:  # what a learner of another system held
+            self._disk.want({f"state/{key}": None for key in self._state}, "emptied", _nothing)
+            self._state = {}
+
         # founding, and being filled
         self._settlers: set[str] = set()
         self._found_at, self._grown_at = 0, 0
@@ -230,6 +241,8 @@
         elif self._is_so(add, remove):
             self._out.append(Answer(ask, Code.OK, self.outlook("", "")._replace(why="").told()))
         elif (look := self.outlook(add, remove)).why or dry:
+            if add and words.name(add) and add not in (*self.everyone, *self._outside.heard(self._now)):
+                self._send(add, "ping", **self._ping(), **self._sets_for(add))  # its seeds may all be gone
             self._out.append(Answer(ask, Code.CLASH if look.why else Code.OK, look.told()))
         elif self._change:
             self._out.append(Answer(ask, Code.CLASH, {"why": "another change is under way"}))
@@ -242,10 +255,17 @@
         """What a change would leave, and why it would be refused."""
         present = self.sets
         look = membership.outlook(present, self._view.chain, self.learners(), add, remove, self.bear)
+        if not look.why and (zone := crowded(present.members, look.members, self._zones())):
+            look = look._replace(why=f"would leave a majority in zone {zone}, where none is now")
         if not look.why and (old := self._of_an_earlier_revision()):
             look = look._replace(why=f"{old} runs a revision that knows no changes of the members")
         return look
 
+    def _zones(self) -> dict[str, str]:
+        names = *self.everyone, *self._outside.names()
+        known = {who: self._peers.get(who) or self._outside.get(who) for who in names}
+        return {self.me: self._zone} | {who: peer.zone for who, peer in known.items() if peer}
+
     def learners(self) -> list[str]:
         """Strangers that could be taken in now: heard by the chain and hearing it, steadily, well, and to be filled."""
         found = []
@@ -389,7 +409,7 @@
             "beat": self._beat,
             "fresh": self._fresh,
             "blank": self._blank,
-            "ready": self._ready(),
+            "ready": self._ready() and (self.counted or self._filled),
             "well": self._disk.well(self._now),
             "members": list(self._proven[1].members),
             "promise": self._floor() if self._blank else self._promise,
@@ -400,6 +420,8 @@
             "hears": self._hearing(),
             "number": self._proven[1].number,
             **({"leaving": True} if self._leaving else {}),
+            **({"zone": self._zone} if self._zone and (self._beat % ZONE_TOLD == 1 or not self.counted) else {}),
+            **({} if self.counted else {"quorum": self._quorum, "age": self._now - self._began}),
         }
 
     def _hearing(self) -> list[str]:
@@ -694,9 +716,9 @@
         due = self._now + delay
         self._due = due if cause != self._cause else min(self._due, due)
         self._cause = cause
-        mutual = [who for who in self.everyone if self._peers.mutual(self._now, self.me, who)]
-        if cause and self._now >= self._due and self.sets.quorum(mutual):
-            self._propose(shunned)
+        if cause and self._now >= self._due:
+            if self.sets.quorum([who for who in self.everyone if self._peers.mutual(self._now, self.me, who)]):
+                self._propose(shunned)
 
     # a change of the members
 
@@ -710,7 +732,36 @@
                 return who
         return ""
 
+    def _successor(self) -> tuple[str, str]:
+        """A newcomer and the one member whose place it takes; ("", ""): there is none.
+
+        Silence alone takes nobody out. The head does it where the platform has put another in that place: a machine
+        that counts, in the same zone, without a disk, started when the chain had long heard nothing of the member.
+        """
+        if not self._serving() or self._place() or len(self._view.chain) == len(self.sets.new):
+            return "", ""
+        chain, members = self._view.chain, self.sets.members
+        missing = [who for who in members if who not in chain]
+        if len(missing) != 1 or not set(chain) <= set(members):
+            return "", ""
+        gone = self._peers.get(missing[0])
+        if gone is None or not gone.zone or self._now - gone.last < GONE:
+            return "", ""
+        others = [self._peers.get(who) for who in chain if who != self.me]
+        if any(peer is None or missing[0] in peer.ping["hears"] for peer in others):
+            return "", ""
+        for who in self.learners():
+            peer = self._outside.get(who)
+            fit = peer and peer.ping["blank"] and peer.ping.get("quorum") and peer.zone == gone.zone
+            if peer and fit and peer.last - peer.ping.get("age", 1 << 60) > gone.last + SILENCE:
+                return who, missing[0]
+        return "", ""
+
     def _go_on_changing(self) -> None:
+        if not self._change and not self._attempt:
+            add, remove = self._successor()
+            if add and not self.outlook(add, remove).why:
+                self._change = None, self._now + CHANGE, add, remove
         if not self._change:
             return
         ask, until, add, remove = self._change
@@ -726,6 +777,8 @@
             self._propose(frozenset(), self.sets.changed(add, remove), add)
             return
         self._change = None
+        if ask is None:  # nobody asked
+            self._out.pop()
 
     # agreeing on one
 
@@ -807,7 +860,9 @@
     def _pursue(self) -> None:
         """Take an attempt as far as it goes now."""
         attempt = self._attempt
-        if not attempt or self.me not in attempt.promises:  # one's own promise is not synced
+        if attempt and self.me not in attempt.sets.names:  # it learnt that it was taken out: what it holds may be old
+            self._give_up()
+        elif not attempt or self.me not in attempt.promises:  # one's own promise is not synced
             if attempt and self._now - attempt.began >= COLLECT:
                 self._give_up()
         elif not attempt.chain:
@@ -919,6 +974,8 @@
         puts["promise"] = write_json(view.epoch)
         puts["view"] = write_json(view)
         puts["version"] = write_json((view.epoch, 0))
+        if self._blank:
+            puts["learner"] = None
         if self._attempt and self._attempt.epoch < view.epoch:
             self._attempt = None
         self._promise = self._joined = view.epoch
@@ -1202,6 +1259,20 @@
             self._commit(version[1])
         if version > self.version and version[0] != self._joined:
             self.committed, self.version = dict(state), version
+            if self._blank and not self.counted:
+                self._fill(version, state)
+
+    def _fill(self, version: Version, state: Mapping[str, Any]) -> None:
+        """A learner keeps what it learns: that shows that its disk writes, and who is taken in writes little then."""
+        puts: dict[str, bytes | None] = {f"state/{key}": None for key in self._state if key not in state}
+        for key, value in state.items():
+            if key not in self._state or self._state[key] != value:
+                puts[f"state/{key}"] = write_json(value)
+        self._state = dict(state)
+        self._disk.want({**puts, "learner": write_json(version)}, "fill", self._have_filled)
+
+    def _have_filled(self) -> None:
+        self._filled = True
 
     def _probe_disk(self) -> None:
         """See whether a disk that was slow still is, by what a change writes, as long as nobody waits for it."""
@@ -1209,6 +1280,16 @@
             puts = {f"state/{key}": write_json(value) for key, value in self._state.items()}
             self._disk.want(puts, "probe", _nothing)
 
+    def mend(self, now: int, records: Sequence[str]) -> list[Effect] | None:
+        """Write these records again, as they are held here; None if there is one that is no value of the map."""
+        self._at(now)
+        keys = [record.removeprefix("state/") for record in records]
+        if any(key == record or key not in self._state for key, record in zip(keys, records)):
+            return None
+        puts = {f"state/{key}": write_json(self._state[key]) for key in keys}
+        self._disk.want(puts, "mend", _nothing)
+        return self._effects()
+
     def _catch_up(self) -> None:
         if self._serving() or self._blank and self.counted or self._now - self._fetched < FETCH:
             return
--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -12,6 +12,7 @@
 LINE_MOST = 1024  # of the framing of chunks
 _SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?")
 _TRAILER = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:.*")
+_INNER = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 _CONTROLS = bytes({*range(32), 127} - {*b"\t\r\n"})  # in no line of a message
 
 
@@ -139,16 +140,19 @@
         return Response(first, headers, body, keep) if self._responses else Request(*first, headers, body, keep)
 
     def _read_head(self) -> Fault | None:
-        if not self._responses:
-            while self._run.part(0, 2) == b"\r\n":  # an empty line before a request is allowed
-                self._consume(2)
-        end = self._run.find(b"\r\n\r\n", self._at, HEAD_MOST)
+        held = self._run.part(0, HEAD_MOST) if not self._at else b""  # all in one piece, where none of it was looked at
+        while held[:2] == b"\r\n" and not self._responses:  # an empty line before a request is allowed
+            self._consume(2)
+            held = held[2:]
+        end = held.find(b"\r\n\r\n") if held else self._run.find(b"\r\n\r\n", self._at, HEAD_MOST)
         if end < 0:
             self._at = max(0, self._run.size - 3)
             return Fault(431, "head too large") if self._run.size >= HEAD_MOST else None
-        head = self._run.part(0, end)
+        head = held[:end] if held else self._run.part(0, end)
         if self._strict and len(head.translate(None, _CONTROLS)) != len(head):
             return Fault(400, "control characters")
+        if self._strict and self._responses and head.find(b"HTTP/1.", 1) > 0 and _INNER.search(head, 1):
+            return Fault(400, "an answer within a head")  # threat: one behind a part of another
         first, *lines = head.decode("latin-1").split("\r\n")
         line = (_RESPONSE if self._responses else _REQUEST).fullmatch(first)
         if line is None:
@@ -179,7 +183,7 @@
                 return Fault(400, "chunks in HTTP/1.0")
             if self._responses and line[2] == "101":
                 return Fault(400, "another protocol, and nobody asked for it")
-            if not self._responses and (line[1] == "CONNECT" or minor == "1" and "host" not in headers):
+            if not self._responses and (line[1] == "CONNECT" or "host" not in headers):
                 return Fault(400, "no host")
         keep = "close" not in asked and (minor == "1" or "keep-alive" in asked)
         self._head = (int(line[2]) if self._responses else (line[1], line[2]), headers, keep)
