--- a/tests/gateway/control/play.py
+++ b/tests/gateway/control/play.py
@@ -341,6 +341,9 @@
 
     def _poll(self) -> None:
         self.checks.look()
+        for name, member in self.members.items():
+            if member.core is not None and not member.box.process.frozen and member.core.over.is_set():
+                self._kill(name, 300, False)  # it ended in order, and is started again
         self.time.after(POLL, self._poll)
 
     def _first(self) -> None:
@@ -814,6 +817,15 @@
     def do_disk_refuses(self, step: Step) -> None:
         self._disk(step, "refuses")
 
+    def do_disk_rots(self, step: Step) -> None:
+        """A record on its disk is no longer what was written; if it starts so, the disk counts as lost."""
+        name = self.name(step.number("on"))
+        disk = self.members[name].box.disk
+        if disk.held and self.checks.may_wipe(name):
+            self.met["disk_rots"] += 1
+            disk.rotten.add(sorted(disk.held)[step.number("pick") % len(disk.held)])
+            self.checks.wiped(name)
+
     def _freeze(self, box: Box, span: int, timers: int, clock: bool = False) -> None:
         process = box.process
         if process is None or process.frozen:
