--- a/tests/gateway/features/control.feature
+++ b/tests/gateway/features/control.feature
@@ -35,6 +35,7 @@
     Examples:
       | when                                 | told  |
       | on the record that stands            | taken |
+      | on a record that an earlier head took with its order | taken |
       | under an earlier epoch               | older |
       | under a later epoch                  | older |
       | on an earlier record                 | older |
--- a/tests/gateway/features/steps/control_steps.py
+++ b/tests/gateway/features/steps/control_steps.py
@@ -87,6 +87,8 @@
         epoch += 1 if "later" in when else -1
     elif when == "on an earlier record":
         on = first | {"serial": 2}
+    elif "earlier head" in when:  # it stored whole what a member of this revision put
+        held[ROLLOUT + "s"] = on = first | {"begin": ask("v2", 12, ["v1"])}
     elif "order" in when:
         held[ROLLOUT + "s"] = first_record(first | {"state": "settled"}, ask("v3", 12, []))
     elif "reverted" in when:
@@ -94,6 +96,7 @@
     new = on | {"serial": on["serial"] + 1, "stage": 1}
     assert put(held, ROLLOUT + "s", step(new, on, epoch)).outcome.value == told
     if told == "taken":
+        new.pop("begin", None)
         assert held[ROLLOUT + "s"] == new  # nothing beside the record is stored
 
 
--- a/umbermoor/gateway/logbook/orders.py
+++ b/umbermoor/gateway/logbook/orders.py
@@ -133,10 +133,10 @@
 def _judge_rollout(held: Mapping[str, Any], key: str, new: Record, epoch: int) -> Verdict:
     """An order has `begin`, a stage has `on`; what has neither came by a member of an earlier revision."""
     last, service = held.get(key), key[len(ROLLOUT):]
+    if "on" in new:  # first: a head of an earlier revision stored records with their `begin`, and stages carry it on
+        return judge_step(last, new, epoch)
     if "begin" in new:
         return judge_begin(last, new["begin"], lambda: _names(held.get(CONFIG), service))
-    if "on" in new:
-        return judge_step(last, new, epoch)
     return Verdict(Outcome.TAKEN, new) if newer(new, last) else Verdict(Outcome.OLDER)
 
 
