--- a/tests/gateway/features/catching_up.feature
+++ b/tests/gateway/features/catching_up.feature
@@ -30,6 +30,11 @@
     When in the long world every disk is 30 times slower
     Then in the long world the chain stays whole
 
+  Scenario: The head is lost soon after all disks were slow
+    Given a long world of 3 members, with a change of 0 bytes each 200 ms
+    When in the long world every disk was slow three times, and the head is killed
+    Then in the long world changes are acknowledged again within 3000 ms
+
   Scenario Outline: One changed route costs a front less than 2 KB
     Then one changed route of <routes> is told by at most <bytes> bytes, and comes out byte for byte
 
--- a/tests/gateway/features/steps/catching_up_steps.py
+++ b/tests/gateway/features/steps/catching_up_steps.py
@@ -83,6 +83,31 @@
     assert max(world.stream.waits) < 5 * SECOND, max(world.stream.waits)
 
 
+@when("in the long world every disk was slow three times, and the head is killed")
+def _(context: Any) -> None:
+    world: LongWorld = context.long
+    for rest in (4, 4, 0.5):  # s; slow again soon after, a disk counts as slow for longer
+        for machine in world.machines.values():
+            machine.mode, machine.sync = "slow", 15 * MS
+        world.run(2 * SECOND)
+        for machine in world.machines.values():
+            machine.mode, machine.sync = "well", 2 * MS
+        world.run(round(rest * SECOND))
+    members = [machine.member for machine in world.machines.values()]
+    assert not any(member._disk.well(world.now + 3 * SECOND) for member in members), [
+        member._disk._slow_until - world.now for member in members
+    ]
+    world.stop(members[0].story()["chain"][0])
+
+
+@then("in the long world changes are acknowledged again within {ms:d} ms")
+def _(context: Any, ms: int) -> None:
+    world: LongWorld = context.long
+    told = world.stream.told
+    assert world.run(ms * MS, lambda: world.stream.told >= told + 3), world.stream
+    world.check()
+
+
 @then("a disk that is slow in every fifth write only is well for a shorter and shorter part of the time")
 def _(context: Any) -> None:
     """Slow in two writes after another of ten, each third second, tried as a member tries it."""
--- a/umbermoor/gateway/barograph/disk.py
+++ b/umbermoor/gateway/barograph/disk.py
@@ -83,6 +83,9 @@
         self._probed = now
         return True
 
+    def works(self, now: int) -> bool:
+        """Whether it takes writes, be it slowly."""
+        return not self._refused and (self._since is None or now - self._since < HANGS)
+
     def well(self, now: int) -> bool:
-        quick = now >= self._slow_until
-        return quick and not self._refused and (self._since is None or now - self._since < HANGS)
+        return now >= self._slow_until and self.works(now)
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -677,7 +677,7 @@
             since = max(self._joined_at, peer.joined_at if peer and peer.joined == self._joined else 0)
             if who != self.me and self._now - since > SILENCE and self._dispensable(who):
                 return "silent", rank * 80 * MS + self._chance.randrange(100 * MS), frozenset((who,))
-        if self._acked < self._sent and self._now - self._progress > TARDY:
+        if self._acked < self._sent and self._now - self._progress > TARDY and self._disk.well(self._now):
             return "tardy", 0, frozenset((self._held.chain[self._place() + 1],))
         if any(self._may_enter(who, peer) for who, peer in self._peers.heard(self._now).items()):
             return "enter", self._place() * 250 * MS + self._chance.randrange(100 * MS), nobody
@@ -686,8 +686,16 @@
     def _dispensable(self, who: str) -> bool:
         """Whether a chain without it can be: it is not heard, or enough others are whose disks are well."""
         heard = self._peers.heard(self._now)
-        well = [self.me, *(other for other, peer in heard.items() if other != who and peer.ping["well"])]
-        return who not in heard or self.sets.quorum(well)
+        well = [other for other, peer in heard.items() if other != who and peer.ping["well"]]
+        return who not in heard or self.sets.quorum([*well, self.me] if self._disk.well(self._now) else well)
+
+    def _may_propose(self) -> bool:
+        """Whether its disk is well; or it is slow only, and so are too many for the others to go on without it."""
+        if self._disk.well(self._now):
+            return True
+        heard = self._peers.heard(self._now).items()
+        well = [who for who, peer in heard if peer.ping["well"] and not peer.ping["blank"]]
+        return self._disk.works(self._now) and not self.sets.quorum(well)
 
     def _can_do_without(self, leaver: str) -> bool:
         """Whether the rest of the chain, as far as it is heard, is a majority."""
@@ -706,11 +714,9 @@
         )
 
     def _consider(self) -> None:
-        if self._blank or not self._settled or not self._promise or self._attempt or not self._disk.well(self._now):
-            return
-        if not self.counted:
+        if self._blank or not self._settled or not self._promise or self._attempt or not self.counted:
             return
-        if self._now < self._patience:
+        if self._now < self._patience or not self._may_propose():
             return
         cause, delay, shunned = self._find_cause()
         due = self._now + delay
