--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -119,6 +119,16 @@
     When member 1 of the register is ordered to replace member 2
     Then the order is refused: "10.0.0.3 runs a revision that knows no changes of the members"
 
+  Scenario: Nor while one of the revision before is away, as it would not learn of the change when it is back
+    Given a register of 5 members with 1 spares
+    When member 5 of the register speaks as the revision before
+    And 500 ms pass in the register
+    And member 5 of the register stops for 2500 ms
+    And member 1 of the register is ordered to add member 6
+    Then the order is refused: "10.0.0.5 runs a revision that knows no changes of the members"
+    When member 1 of the register is ordered to replace member 5 once that may be
+    Then the set of the register has the spare in the place of member 5
+
   Scenario: One that the platform started in the place of a lost member succeeds it
     Given a register of 3 members with 3 spares that count by the platform's word
     And the spares of the register stop
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -326,6 +326,12 @@
     world._carry = speak
 
 
+@then("the set of the register has the spare in the place of member {number:d}")
+def _(context: Any, number: int) -> None:
+    world: Sets = context.sets
+    assert {*world.members()} == {*world.first, "10.0.0.100"} - {named(context, number)}, world.members()
+
+
 @when("all members stop, and start again")
 def _(context: Any) -> None:
     for name in context.sets.first:
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -257,7 +257,7 @@
         look = membership.outlook(present, self._view.chain, self.learners(), add, remove, self.bear)
         if not look.why and (zone := crowded(present.members, look.members, self._zones())):
             look = look._replace(why=f"would leave a majority in zone {zone}, where none is now")
-        if not look.why and (old := self._of_an_earlier_revision()):
+        if not look.why and (old := self._of_an_earlier_revision(remove)):
             look = look._replace(why=f"{old} runs a revision that knows no changes of the members")
         return look
 
@@ -732,9 +732,12 @@
         members = self.sets.members
         return bool(add or remove) and (not add or add in members) and (not remove or remove not in members)
 
-    def _of_an_earlier_revision(self) -> str:
-        for who in self._view.chain:
-            if who != self.me and (peer := self._peers.get(who)) and "number" not in peer.ping:
+    def _of_an_earlier_revision(self, remove: str) -> str:
+        """A member as it was last heard, also one that is away: back, it would fence with the majority that it knows.
+        One that is removed knows too few who listen to it then."""
+        for who in self.everyone:
+            away = who not in self._view.chain
+            if not (away and who == remove) and (peer := self._peers.get(who)) and "number" not in peer.ping:
                 return who
         return ""
 
