--- a/tests/gateway/features/control.feature
+++ b/tests/gateway/features/control.feature
@@ -42,6 +42,14 @@
       | on the record of an earlier order    | older |
       | after it was reverted                | older |
 
+  Scenario Outline: In an upgrade an order of <target> comes to a head of the earlier revision while v2 is under way
+    Then a core with such a head answers an order of <target> with <status>, and v2 stays under way
+
+    Examples:
+      | target | status |
+      | v2     | 200    |
+      | v3     | 409    |
+
   Scenario: What the earlier revision stored is read
     Given the control's members hold a store of the earlier revision
     Then each control's member tells same, clash and taken as if it had been put under this one
--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -116,6 +116,7 @@
     When member 3 of the register speaks as the revision before
     And all members stop, and start again
     Then the register is whole within 2000 ms, and takes puts
+    And the others know that member 3 judges no puts, should it be the head
     When member 1 of the register is ordered to replace member 2
     Then the order is refused: "10.0.0.3 runs a revision that knows no changes of the members"
 
--- a/tests/gateway/features/steps/control_steps.py
+++ b/tests/gateway/features/steps/control_steps.py
@@ -1,8 +1,10 @@
 """Steps of control.feature: the judging of orders alone, and members with it in virtual time."""
 
+import asyncio
 import json
 import random
 from collections import Counter
+from types import SimpleNamespace
 
 from behave import given, then
 
@@ -10,11 +12,14 @@
 from tests.gateway.callers import CALLS, body, counts, storm, troubled, value
 from tests.gateway.linear import NEVER, Op, broken
 from tests.gateway.world import MS, Broken, World
-from umbermoor.gateway.anemometer.plan import ROLLOUT
+from umbermoor.gateway.anemometer.plan import ROLLOUT, newer
 from umbermoor.gateway.anemometer.trial import ask, first_record, step
 from umbermoor.gateway.barograph.contact import LEASE
-from umbermoor.gateway.effects import Code, Outcome
+from umbermoor.gateway.effects import Answer, Code, Outcome, Verdict
+from umbermoor.gateway.logbook.calls import Call
 from umbermoor.gateway.logbook.orders import CONFIG, KNOWN, judge
+from umbermoor.gateway.mast.core import Core
+from umbermoor.gateway.screen.registry import Registry
 
 
 def put(held, key, new, epoch=5):
@@ -100,6 +105,36 @@
         assert held[ROLLOUT + "s"] == new  # nothing beside the record is stored
 
 
+class Upgrading:
+    """Orders as the core takes them; a head of the earlier revision puts what is newer, and tells that it is done."""
+
+    begin, told, outcome = Core.begin, staticmethod(Core.told), staticmethod(Core.outcome)
+
+    def __init__(self, record):
+        self.registry = Registry(1, 1_500_000)
+        self.member = SimpleNamespace(committed={ROLLOUT + "s": record}, judged=False, put=self.put)
+
+    def connected(self):
+        return True
+
+    def put(self, now, number, key, new):
+        if newer(new, self.member.committed[key]):
+            self.member.committed[key] = new
+        return Answer(number, Code.OK, Verdict(Outcome.TAKEN))
+
+    async def ask(self, put):
+        return put(0, 1)
+
+
+@then("a core with such a head answers an order of {target} with {status:d}, and v2 stays under way")
+def _(context, target, status):
+    record = first_record(None, ask("v2", 12, ["v1"])) | {"serial": 3, "stage": 1}
+    core = Upgrading(record)
+    told = asyncio.run(core.begin(Call("", json.dumps({"service": "s", "target": target, "rampS": 12}).encode())))
+    assert told.status == status, told
+    assert core.member.committed[ROLLOUT + "s"] == record, core.member.committed
+
+
 @given("the control's members hold a store of the earlier revision")
 def _(context):
     context.stored = json.dumps(body(5, "a"))
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -326,6 +326,17 @@
     world._carry = speak
 
 
+@then("the others know that member {number:d} judges no puts, should it be the head")
+def _(context: Any, number: int) -> None:
+    for name in context.sets.first:
+        member = context.sets.machines[name].member
+        assert member.judged
+        view, last = member._view, named(context, number)
+        member._view = view._replace(chain=(last, *(one for one in view.chain if one != last)))
+        assert member.judged == (name == last), name
+        member._view = view
+
+
 @then("the set of the register has the spare in the place of member {number:d}")
 def _(context: Any, number: int) -> None:
     world: Sets = context.sets
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -315,6 +315,12 @@
         self._at(now)
         return self.connected
 
+    @property
+    def judged(self) -> bool:
+        """Whether the head judges puts, as far as is known here; one of the revision before takes what is newer."""
+        peer = self._peers.get(self._view.chain[0]) if self._view.chain else None
+        return peer is None or "number" in peer.ping
+
     def listens(self, sender: str) -> bool:
         """Whether what that one says of the chain is taken at all."""
         return self._listens(sender, "append")
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -15,11 +15,11 @@
 from umbermoor.gateway.anemometer.core import Steps
 from umbermoor.gateway.anemometer.plan import ROLLOUT
 from umbermoor.gateway.anemometer.trial import ask as asked_of
-from umbermoor.gateway.anemometer.trial import first_record, step
+from umbermoor.gateway.anemometer.trial import judge_begin, step
 from umbermoor.gateway.barograph.compare import Compare
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.store import Store
-from umbermoor.gateway.effects import Answer, Code, Effect, Send, Verdict, Write
+from umbermoor.gateway.effects import Answer, Code, Effect, Outcome, Send, Verdict, Write
 from umbermoor.gateway.heliograph.deltas import Carrier
 from umbermoor.gateway.heliograph.reader import Reader as Pulls
 from umbermoor.gateway.heliograph.reader import Teller
@@ -186,8 +186,13 @@
         present = sorted({entry.revision for entry in self.registry.entries.values()
                           if entry.service == service and entry.state in (READY, SILENT)})
         order = asked_of(target, ramp, present, key)
-        # A head of the earlier revision puts what is beside `begin`: what this member's own copy makes of the order.
-        value = first_record(self.member.committed.get(ROLLOUT + service), order) | {"begin": order}
+        # A head of the earlier revision takes what is beside `begin` where it is newer than what stands. So that is what
+        # this member's own copy makes of the order: the record itself, where the order changes nothing.
+        last = self.member.committed.get(ROLLOUT + service)
+        own = judge_begin(last, order, lambda: True)
+        if own.outcome is Outcome.CLASH and not self.member.judged:
+            return wrong(STATUS[Code.CLASH], own.why) if self.connected() else LATER
+        value = (own.value or last) | {"begin": order}
         answer = await self.ask(lambda now, number: self.member.put(now, number, ROLLOUT + service, value))
         event("begin", service=service, target=target, ramp_s=ramp, code=answer.code.value, **self.outcome(answer))
         return self.told(answer)
