--- a/tests/gateway/features/mast.feature
+++ b/tests/gateway/features/mast.feature
@@ -65,6 +65,10 @@
       | unsafe | part of one behind it       | 200    | 1    | 1   |
       | unsafe | odd figures                 | 200    | 1    | 1   |
 
+  Scenario: a vane that has just started guesses nothing
+    Given a vane on loopback before 1 machines
+    Then a vane without configuration, and one without machines, refuses and sends nothing
+
   Scenario: a vane before a machine that never answers
     Given a vane on loopback before 1 machines
     Then a vane counts nothing as under way at a machine that never answers, once the time of its request is over
--- a/tests/gateway/features/steps/mast_steps.py
+++ b/tests/gateway/features/steps/mast_steps.py
@@ -392,6 +392,25 @@
     assert [id for _, id, _ in context.here.machines.came] == context.ids
 
 
+@then("a vane without configuration, and one without machines, refuses and sends nothing")
+def _(context):
+    here = context.here
+
+    async def story():
+        client, kept = await here.client(), here.front.routes
+        here.front.routes = None
+        client.send("early", "unsafe")
+        first = await client.answer()
+        here.front.routes, plants = kept, dict(here.front.plants.by_id)
+        for id in plants:
+            here.front.plants.forget(id)
+        client.send("early too", "unsafe")
+        for found in (first, await client.answer()):
+            assert found.status == 503 and float(found.headers["retry-after"]) > 0, found
+        assert not here.machines.came and not here.front.going
+    here.run(story())
+
+
 @then("a vane whose one machine is full asks it again on a new connection")
 def _(context):
     here = context.here
