--- a/tests/gateway/control/checks.py
+++ b/tests/gateway/control/checks.py
@@ -243,6 +243,7 @@
 
     def left(self, server: Any, by: str) -> None:
         self.counts["left"] += 1
+        server.known_left = True
 
     def asked(self, service: str) -> None:
         pass
@@ -484,6 +485,9 @@
         if len({(story["epoch"], tuple(story["chain"])) for story in stories.values()}) > 1 or any(
                 story["role"] not in ("head", "middle", "tail") for story in stories.values()):
             self.broken("end", f"not whole though all is well: {stories}")
+        for vane in play.vanes.values():  # no rule is broken: nobody is there to take a request
+            self.counts["left and still listed"] += sum(
+                server.known_left and server.id in vane.front.plants.by_id for server in play.servers)
         for name, vane in play.vanes.items():
             if vane.front is None or not vane.front.ready or self.in_force[name] != newest:
                 self.broken("end", f"{name} has {self.in_force[name]} in force, or is not ready")
--- a/tests/gateway/control/play.py
+++ b/tests/gateway/control/play.py
@@ -218,6 +218,7 @@
         self.began = play.time.now
         self.drained_at: int | None = None  # when that was acknowledged
         self.left_at: int | None = None
+        self.known_left = False  # that was acknowledged
         self.asked_at: int | None = None  # when it first said that it drains
         self._beat()
 
