--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -140,6 +140,15 @@
     And 5000 ms pass in the register
     Then member 2 of the register is a learner, and answers LATER
 
+  Scenario: Also where all others were restarted meanwhile
+    Given a register of 3 members with 3 spares that count by the platform's word
+    And the spares of the register stop
+    When member 2 of the register stops for 1000 ms
+    And the members of the register that run restart
+    And 3000 ms pass in the register
+    And member 5 of the register starts
+    Then within 2500 ms member 5 of the register is a member in the place of member 2, and none is thin
+
   Scenario: No change puts a majority into one zone
     Given a register of 3 members with 3 spares that count by the platform's word
     When 1500 ms pass in the register
@@ -161,6 +170,7 @@
       | member 5 of the register starts                    | member 2 of the register stops for 3000 ms          |
       | member 2 of the register stops for 3000 ms         | member 4 of the register starts                     |
       | member 5 of the register starts                    | member 2 of the register is cut off                 |
+      | member 2 of the register stops for 1000 ms         | member 5 starts, and those that run restart         |
       | member 2 and member 3 of the register are cut off  | successors of both start beside the one that is left |
 
   Scenario: A newcomer whose seeds are all gone comes by an operator's order
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -379,6 +379,24 @@
     assert named(context, new) in world.members() and named(context, old) not in world.members()
 
 
+@when("the members of the register that run restart")
+def _(context: Any) -> None:
+    world: Sets = context.sets
+    running = [name for name in world.first if world.machines[name].member]
+    for name in running:
+        world.stop(name)
+    for name in running:
+        world.start(name)
+
+
+@when("member 5 starts, and those that run restart")
+def _(context: Any) -> None:
+    context.execute_steps("""
+        When member 5 of the register starts
+        And the members of the register that run restart
+    """)
+
+
 @when("member {number:d} of the register is cut off")
 def _(context: Any, number: int) -> None:
     cut_off(context, [number])
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -111,6 +111,7 @@
         first = membership.founded(self.everyone, json.loads(stored.get("system", b"0"))) if self.everyone else NONE
         self._held_sets = membership.read(sets[0]) if sets[0] else first  # of the view that was accepted last
         self._proven: tuple[int, Membership] = (sets[1], membership.read(sets[2])) if sets[2] else (0, first)
+        self._zones_kept: dict[str, str] = json.loads(stored.get("zones", b"{}"))  # of the other members, as last told
         self._outside = Peers(me, LEARNERS)  # learners
         self._change: tuple[int | None, int, str, str] | None = None  # ask (None: by itself), until when, add, remove
         self._leaving = False
@@ -264,7 +265,17 @@
     def _zones(self) -> dict[str, str]:
         names = *self.everyone, *self._outside.names()
         known = {who: self._peers.get(who) or self._outside.get(who) for who in names}
-        return {self.me: self._zone} | {who: peer.zone for who, peer in known.items() if peer}
+        told = {who: peer.zone for who, peer in known.items() if peer and peer.zone}
+        return self._zones_kept | told | {self.me: self._zone}
+
+    def _keep_zones(self) -> None:
+        """One that is gone may be succeeded in its zone, also after a restart of those who heard it."""
+        zones = self._zones()
+        kept = {who: zones[who] for who in self._others() if zones.get(who)}
+        if kept != self._zones_kept:
+            self._zones_kept = kept
+            if not self._blank and self._settled:
+                self._disk.want({"zones": write_json(kept)}, "zones", _nothing)
 
     def learners(self) -> list[str]:
         """Strangers that could be taken in now: heard by the chain and hearing it, steadily, well, and to be filled."""
@@ -478,6 +489,8 @@
             self._send(sender, "ping", **self._ping(), **self._echo(sender), **self._sets_for(sender))
         if not self.everyone:
             return
+        if "zone" in ping and self.counted:
+            self._keep_zones()
         if (peer := self._peers.get(sender)) and peer.ping is ping:
             self._contact.heard(self._now, sender, ping, self._life)
         if ping["promise"] and not ping["blank"] and self._settled and self._is_founder() and not self._promise:
@@ -543,6 +556,7 @@
         return {
             "sets": write_json([self._held_sets.told(), epoch, proven.told()]),
             "members": write_json(self.everyone),
+            "zones": write_json(self._zones_kept),
         }
 
     def _keep_sets(self) -> None:
@@ -760,15 +774,16 @@
         if len(missing) != 1 or not set(chain) <= set(members):
             return "", ""
         gone = self._peers.get(missing[0])
-        if gone is None or not gone.zone or self._now - gone.last < GONE:
+        zone, last = self._zones().get(missing[0]), gone.last if gone else self._began  # not heard in this life
+        if not zone or self._now - last < GONE:
             return "", ""
         others = [self._peers.get(who) for who in chain if who != self.me]
         if any(peer is None or missing[0] in peer.ping["hears"] for peer in others):
             return "", ""
         for who in self.learners():
             peer = self._outside.get(who)
-            fit = peer and peer.ping["blank"] and peer.ping.get("quorum") and peer.zone == gone.zone
-            if peer and fit and peer.last - peer.ping.get("age", 1 << 60) > gone.last + SILENCE:
+            fit = peer and peer.ping["blank"] and peer.ping.get("quorum") and peer.zone == zone
+            if peer and fit and peer.last - peer.ping.get("age", 1 << 60) > last + SILENCE:
                 return who, missing[0]
         return "", ""
 
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -186,7 +186,7 @@
         present = sorted({entry.revision for entry in self.registry.entries.values()
                           if entry.service == service and entry.state in (READY, SILENT)})
         order = asked_of(target, ramp, present, key)
-        # A head of the earlier revision takes what is beside `begin` where it is newer than what stands. So that is what
+        # A head of the earlier revision takes what is beside `begin` where it is newer than what stands: so it is what
         # this member's own copy makes of the order: the record itself, where the order changes nothing.
         last = self.member.committed.get(ROLLOUT + service)
         own = judge_begin(last, order, lambda: True)
