--- a/tests/gateway/features/mast.feature
+++ b/tests/gateway/features/mast.feature
@@ -147,12 +147,18 @@
   Scenario: a vane's end takes no answer with it
     Given a vane on loopback before 1 machines
     Then a vane that leaves reads on behind its end, and its client gets the answer whole
+    And a vane reads on behind its end for half a second, whatever its client goes on sending
+
+  Scenario: a vane outlasts clients that go just as it says its end
+    Given a vane on loopback before 1 machines
+    Then a vane that answers a client, gone in that moment, has closed the connection, and its clock goes on
 
   Scenario: a vane's clients that wait before their body, and that do not read
     Given a vane on loopback before 1 machines
     Then a vane's client that expects 100 gets it once, and its own answer
     And a vane begins nothing more for a client that does not read, and serves it once it does
     And a vane breaks off clients that do not read, those that hold most first
+    And a vane breaks off a client that goes on sending and does not read
 
   Scenario: a vane sends nothing on for a client that has left
     Given a vane on loopback before 2 machines
--- a/tests/gateway/features/steps/mast_steps.py
+++ b/tests/gateway/features/steps/mast_steps.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import struct
+import time
 import zlib
 from itertools import count
 
@@ -477,6 +478,53 @@
     here.run(story())
 
 
+@then("a vane reads on behind its end for half a second, whatever its client goes on sending")
+def _(context):
+    here = context.here
+
+    async def story():
+        client = await here.client()
+        client.writer.write(b"garbage\r\n\r\n")
+        await here.until(lambda: any(line.ended for line in here.front.lines))
+        line, = here.front.lines
+        began = here.front.clock()
+        here.front.clock = lambda: began + 0.6
+        try:
+            line.data_received(b"x")
+            line.sweep(here.front.clock(), 3, 15)
+        finally:
+            here.front.clock = time.monotonic
+        assert line.transport.is_closing()
+    here.run(story())
+
+
+@then("a vane that answers a client, gone in that moment, has closed the connection, and its clock goes on")
+def _(context):
+    here = context.here
+
+    async def gone(data, begun):
+        """Its line, once that has begun; the client's end has come, and is not read yet."""
+        client = socket.create_connection((HERE, here.port))
+        client.sendall(data)
+        await here.until(lambda: any(begun(line) for line in here.front.lines))
+        line, = here.front.lines
+        client.close()
+        return line
+
+    async def story():
+        whole = b"POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n"
+        here.front.leaving, here.machines.manners = True, ["hangs"]
+        line = await gone(whole, lambda one: one.row)
+        line.told(line.row[0], 504, b"", {})
+        assert line.transport.is_closing()
+        await here.until(lambda: not here.front.lines)
+        line = await gone(whole[:20], lambda one: one.begun is not None)
+        line.sweep(here.front.clock() + 60, 3, 15)
+        assert line.transport.is_closing()
+        await here.until(lambda: not here.front.lines)
+    here.run(story())
+
+
 @then("a vane's client that expects 100 gets it once, and its own answer")
 def _(context):
     here = context.here
@@ -561,6 +609,37 @@
     assert lines[0].transport.aborted
 
 
+@then("a vane breaks off a client that goes on sending and does not read")
+def _(context):
+    class Transport:
+        def __init__(self):
+            self.aborted = False
+
+        def get_write_buffer_size(self):
+            return 100_000
+
+        def is_closing(self):
+            return self.aborted
+
+        def pause_reading(self):
+            pass
+
+        def abort(self):
+            self.aborted = True
+
+    began = context.here.front.clock()
+    line = ClientLine(context.here.front)
+    line.transport, line.closing = Transport(), True
+    line.pause_writing()
+    context.here.front.clock = lambda: began + 40
+    try:
+        line.data_received(b"x")
+        line.sweep(began + 41, 3, 15)
+    finally:
+        context.here.front.clock = time.monotonic
+    assert line.transport.aborted
+
+
 @then("a vane sent the first 2 on one connection and the third on another")
 def _(context):
     first, second, third = [number for number, _, _ in context.here.machines.came]
--- a/umbermoor/gateway/mast/clients.py
+++ b/umbermoor/gateway/mast/clients.py
@@ -71,10 +71,10 @@
         self.at = self.front.clock()
 
     def data_received(self, data: bytes) -> None:
-        self.at = self.front.clock()
         if self.closing:
-            self.linger = True
+            self.linger = True  # and no more time: what it sends now is not read
             return
+        self.at = self.front.clock()
         all_found = self.reader.feed(data)
         self.begun = None if not self.reader.midway else self.at if all_found or self.begun is None else self.begun
         for found in all_found:
@@ -169,7 +169,10 @@
         self.ended, self.at = True, self.front.clock()
         self.halted = False
         self.transport.resume_reading()
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError:  # it has gone, which the kernel knows and this process does not yet
+            self.transport.abort()
 
     def eof_received(self) -> bool:
         self.closing = self.heard_end = True
