--- a/tests/gateway/features/catching_up.feature
+++ b/tests/gateway/features/catching_up.feature
@@ -53,6 +53,8 @@
     Given a front in which a configuration of 40 routes is in force
     When the front is told the next one by what it changes
     Then the next one is in force in the front
+    When the front is told that one again, as another member was asked for it too
+    Then the next one is in force in the front, and the one after it may be told by what it changes
     When the front is told one by what it changes against another base
     Then the front asks for the whole, and takes it
 
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -282,6 +282,8 @@
         if (change := message.get("delta")) is not None:
             try:
                 digest, base, made = change
+                if digest == self.pulls.base != "":  # it came from another member before
+                    return
                 text = applied(self.text, made, digest) if base == self.pulls.base != "" else None
             except (TypeError, ValueError):
                 text = None
