--- a/tests/reader_test.py
+++ b/tests/reader_test.py
@@ -226,3 +226,10 @@
     MET.clear()
     settings(max_examples=3000, deadline=None)(given(responses(), CUTS)(answers_beside_h11))()
     assert MET["we take"] > 300, MET
+
+
+def test_any_number_of_empty_lines_before_a_request_is_passed_over():
+    data = b"\r\n" * 9000 + b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    for cuts in ((), (4096,), (18_001,)):
+        found, fault, reader = ours(data, cuts=cuts)
+        assert [one.target for one in found] == ["/"] and fault is None and not reader.midway, (found, fault)
--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -9,6 +9,7 @@
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _REQUEST = re.compile(rf"({_TOKEN.pattern}) ([!-~]+) HTTP/1\.([01])")
 _RESPONSE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n]*)?")
+_EMPTY = re.compile(rb"(?:\r\n)+")
 LINE_MOST = 1024  # of the framing of chunks
 _SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?")
 _TRAILER = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:.*")
@@ -142,8 +143,8 @@
     def _read_head(self) -> Fault | None:
         held = self._run.part(0, HEAD_MOST) if not self._at else b""  # all in one piece, where none of it was looked at
         while held[:2] == b"\r\n" and not self._responses:  # an empty line before a request is allowed
-            self._consume(2)
-            held = held[2:]
+            self._consume(_EMPTY.match(held).end())
+            held = self._run.part(0, HEAD_MOST)
         end = held.find(b"\r\n\r\n") if held else self._run.find(b"\r\n\r\n", self._at, HEAD_MOST)
         if end < 0:
             self._at = max(0, self._run.size - 3)
