--- a/tests/gateway/features/catching_up.feature
+++ b/tests/gateway/features/catching_up.feature
@@ -76,5 +76,16 @@
     When the members learn of a configuration, but for the one that the front asks first
     Then the front hears it first within 1000 ms, and within 1000 ms from 4 members
 
+  Scenario Outline: A configuration's body does not hang on members that are gone or behind
+    Then a front that asks <members> members, <gone> gone and <behind> behind, holds the newer of two configurations within <ms> ms, <what>
+
+    Examples:
+      | members | gone | behind | ms   | what                               |
+      | 3       | 1    | 0      | 1000 | as members told it                 |
+      | 5       | 2    | 0      | 1000 | as members told it                 |
+      | 5       | 1    | 1      | 1000 | as members told it                 |
+      | 3       | 0    | 0      | 2000 | though the one asked first is lost |
+      | 5       | 1    | 1      | 2000 | though the one asked first is lost |
+
   Scenario: Members do not tell one another of configurations, the chain does
     Then a member's own pull is not answered for a configuration before its time
--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -30,13 +30,14 @@
 class Source:
     """One member of the core, as a reader sees it."""
 
-    __slots__ = "asked", "firm", "life", "number", "next", "old", "silent"
+    __slots__ = "asked", "firm", "life", "number", "next", "offered", "old", "silent"
 
     def __init__(self) -> None:
         self.asked: int | None = None
         self.firm = -(1 << 60)
         self.life = self.number = 0
         self.next = 0
+        self.offered = 0  # the revision that it told last; none while it is silent
         self.silent = False  # its last pull had no answer
         self.old = False  # the next answer may be from before this process stood still
 
@@ -72,7 +73,7 @@
                     self.sources.setdefault(name, Source())
         for name, source in self.sources.items():
             if source.asked is not None and now - source.asked > LOST:
-                source.asked, source.next, source.silent = None, now, True
+                source.asked, source.next, source.offered, source.silent = None, now, 0, True
             if source.asked is None and now >= source.next:
                 found.append(name)
         return found
@@ -83,7 +84,7 @@
         source.asked = now
         message = {"kind": "pull", "life": source.life, "number": source.number, "register": list(self.version),
                    "revision": self.revision, "first": name == self._first()}
-        if self.offered > self.revision and now >= self._want_at:
+        if source.offered > self.revision and now >= self._want_at:  # one that lacks it would only take up the turn
             message["want"], self._want_at = True, now + AGAIN
             if self.base:
                 message["base"] = self.base
@@ -101,7 +102,7 @@
     def failed(self, now: int, name: str) -> None:
         """The pull did not reach the member, or its connection broke."""
         if source := self.sources.get(name):
-            source.asked, source.next, source.silent = None, now + PAUSE, True
+            source.asked, source.next, source.offered, source.silent = None, now + PAUSE, 0, True
 
     def news(self, now: int, name: str, message: dict[str, Any]) -> Heard | None:
         """An answer to a pull; None where it is garbled or from a stranger."""
@@ -117,7 +118,7 @@
         except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             return None
         source.asked, source.life, source.number, source.silent = None, life, number, False
-        source.next = now + GAP
+        source.next, source.offered = now + GAP, offered
         firm = firm is True and not source.old
         source.old = False
         if firm:
@@ -141,7 +142,7 @@
             register = {key: value for key, value in keys.items() if self.register.get(key) != value}
             self.register.update(register)
         self.offered = max(self.offered, offered)
-        return Heard(changed, register, self.offered > self.revision and now >= self._want_at, firm)
+        return Heard(changed, register, offered > self.revision and now >= self._want_at, firm)
 
     def stood_still(self) -> None:
         """This process was frozen, or starved: an answer that it finds now may have lain there, and proves nothing."""
