--- a/umbermoor/gateway/heliograph/reader.py
+++ b/umbermoor/gateway/heliograph/reader.py
@@ -84,7 +84,7 @@
         source.asked = now
         message = {"kind": "pull", "life": source.life, "number": source.number, "register": list(self.version),
                    "revision": self.revision, "first": name == self._first()}
-        if source.offered > self.revision and now >= self._want_at:  # one that lacks it would only take up the turn
+        if self._wants(now, source.offered):  # one that lacks it would only take up the turn
             message["want"], self._want_at = True, now + AGAIN
             if self.base:
                 message["base"] = self.base
@@ -142,7 +142,11 @@
             register = {key: value for key, value in keys.items() if self.register.get(key) != value}
             self.register.update(register)
         self.offered = max(self.offered, offered)
-        return Heard(changed, register, offered > self.revision and now >= self._want_at, firm)
+        return Heard(changed, register, self._wants(now, offered), firm)
+
+    def _wants(self, now: int, offered: int) -> bool:
+        """Whether one who told of that revision is to be asked for its body; a member asks none, it has the chain."""
+        return not self.me and offered > self.revision and now >= self._want_at
 
     def stood_still(self) -> None:
         """This process was frozen, or starved: an answer that it finds now may have lain there, and proves nothing."""
