--- a/benchmarks/chain_seeds.py
+++ b/benchmarks/chain_seeds.py
@@ -10,7 +10,7 @@
 
 from cyclopts import App
 
-from tests.gateway.world import storm
+from umbermoor.gateway.chamber.register import storm
 
 
 def play(seed: int, members: int, steps: int, cold: bool) -> tuple[int, str, int, int, int]:
--- a/benchmarks/control_world.py
+++ b/benchmarks/control_world.py
@@ -17,9 +17,9 @@
 
 from cyclopts import App
 
-from tests.gateway.control.checks import Broken
-from tests.gateway.control.play import Play
-from tests.gateway.control.script import Day, draw, read, shrink
+from umbermoor.gateway.chamber.checks import Broken
+from umbermoor.gateway.chamber.play import Play
+from umbermoor.gateway.chamber.script import Day, draw, read, shrink
 
 TRIED = 200  # days at most that are played to shrink one
 
--- a/benchmarks/long_storms.py
+++ b/benchmarks/long_storms.py
@@ -10,7 +10,7 @@
 from cyclopts import App
 
 from tests.gateway.long_world import SECOND, streamed
-from tests.gateway.world import MS
+from umbermoor.gateway.chamber.register import MS
 
 TROUBLES = "restarts", "away", "wiped", "slow", "hangs", "refuses"
 app = App(help=__doc__)
--- a/benchmarks/member_storms.py
+++ b/benchmarks/member_storms.py
@@ -11,7 +11,7 @@
 import time
 
 from tests.gateway.sets import storm_sets
-from tests.gateway.world import Broken
+from umbermoor.gateway.chamber.register import Broken
 
 
 def main() -> int:
--- a/benchmarks/second_loss.py
+++ b/benchmarks/second_loss.py
@@ -15,7 +15,7 @@
 from typing import Callable
 
 from tests.gateway.sets import Sets, founded_sets
-from tests.gateway.world import MS
+from umbermoor.gateway.chamber.register import MS
 from umbermoor.gateway.effects import Code
 
 SPARE = "10.0.0.100"
--- a/tests/gateway/control/sabotages.py
+++ b/tests/gateway/control/sabotages.py
@@ -7,10 +7,10 @@
 from typing import Any, Iterator
 from unittest.mock import patch
 
-from tests.gateway.control.checks import Broken
-from tests.gateway.control.play import Play
-from tests.gateway.control.script import Day, draw
-from tests.gateway.control.virtual import Disk
+from umbermoor.gateway.chamber.checks import Broken
+from umbermoor.gateway.chamber.play import Play
+from umbermoor.gateway.chamber.script import Day, draw
+from umbermoor.gateway.chamber.virtual import Disk
 from umbermoor.gateway.anemometer.core import Steps
 from umbermoor.gateway.barograph.membership import Membership
 from umbermoor.gateway.heliograph.reader import Reader
--- a/tests/gateway/features/steps/catching_up_steps.py
+++ b/tests/gateway/features/steps/catching_up_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from tests.gateway.long_world import SECOND, LongWorld, configuration, streamed
-from tests.gateway.world import MS
+from umbermoor.gateway.chamber.register import MS
 from umbermoor.gateway.almanac.papers import papers_from
 from umbermoor.gateway.barograph.disk import Disk
 from umbermoor.gateway.heliograph.deltas import LONG, MARK, Carrier, Lack, Packer, Texts, applied, delta, digest_of
--- a/tests/gateway/features/steps/control_steps.py
+++ b/tests/gateway/features/steps/control_steps.py
@@ -10,8 +10,8 @@
 
 from tests.gateway import callers
 from tests.gateway.callers import CALLS, body, counts, storm, troubled, value
-from tests.gateway.linear import NEVER, Op, broken
-from tests.gateway.world import MS, Broken, World
+from umbermoor.gateway.chamber.histories import NEVER, Op, broken
+from umbermoor.gateway.chamber.register import MS, Broken, World
 from umbermoor.gateway.anemometer.plan import ROLLOUT, newer
 from umbermoor.gateway.anemometer.trial import ask, first_record, step
 from umbermoor.gateway.barograph.contact import LEASE
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -8,7 +8,7 @@
 from benchmarks.second_loss import second
 from tests.gateway.quorums import Broken, Order, Rules, Space
 from tests.gateway.sets import Sets, founded_sets, storm_sets
-from tests.gateway.world import MS
+from umbermoor.gateway.chamber.register import MS
 from umbermoor.gateway.effects import Code
 
 
--- a/tests/gateway/sets.py
+++ b/tests/gateway/sets.py
@@ -3,7 +3,7 @@
 import json
 import random
 
-from tests.gateway.world import MS, Broken, Machine, World, _fault, _nerves
+from umbermoor.gateway.chamber.register import MS, Broken, Machine, World, _fault, _nerves
 from umbermoor.gateway.barograph import membership
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.membership import Membership
--- a/tests/gateway/control/checks.py
+++ b/umbermoor/gateway/chamber/checks.py
@@ -9,8 +9,8 @@
 from itertools import combinations
 from typing import Any
 
-from tests.gateway.control.script import MARGINS, SERVICES
-from tests.gateway.control.virtual import SECOND
+from umbermoor.gateway.chamber.script import MARGINS, SERVICES
+from umbermoor.gateway.chamber.virtual import SECOND
 from umbermoor.gateway.anemometer.plan import ROLLOUT, newer
 from umbermoor.gateway.mast.core import CONFIG
 from umbermoor.gateway.screen.registry import DRAINING, GONE
--- a/tests/gateway/control/play.py
+++ b/umbermoor/gateway/chamber/play.py
@@ -6,9 +6,9 @@
 from typing import Any, Callable
 from unittest.mock import patch
 
-from tests.gateway.control.checks import Checks
-from tests.gateway.control.script import MARGINS, SERVICES, Day, Step, number_at
-from tests.gateway.control.virtual import MS, SECOND, Box, Net, Process, Time
+from umbermoor.gateway.chamber.checks import Checks
+from umbermoor.gateway.chamber.script import MARGINS, SERVICES, Day, Step, number_at
+from umbermoor.gateway.chamber.virtual import MS, SECOND, Box, Net, Process, Time
 from umbermoor.gateway.almanac.papers import Papers
 from umbermoor.gateway.logbook.calls import Desk
 from umbermoor.gateway.mast import core as core_host
