--- /dev/null
+++ b/tests/gateway/features/members.feature
@@ -0,0 +1,115 @@
+Feature: The members of the register change while it serves
+  Newcomers learn first, a change needs a majority of the old and of the new set, one change at a time.
+
+  Scenario Outline: Storms of faults and changes break no promise
+    Given the register plays storms of changes <first> to <last> among <members> members
+    Then the register kept every promise in each of them, over at least <changes> changes
+
+    Examples:
+      | first | last | members | changes |
+      | 0     | 9    | 3       | 45      |
+      | 100   | 104  | 5       | 20      |
+
+  Scenario: All three are replaced one after another while puts are taken
+    Given a register of 3 members with 3 spares
+    When each member is replaced by a spare while puts are made
+    Then the register has none of its first members, and holds all that it told
+    And at most one put a replacement was answered LATER
+
+  Scenario: Two orders at once, at two members
+    Given the register plays two orders at two members up to 60 ms apart, 40 times
+    Then in each of them one set followed another
+
+  Scenario: A change gives way to one that came to be in force since it was begun
+    Given a register of 3 members with 2 spares
+    When member 2 of the register has begun a change, and learns that member 1 has made another
+    Then the promise of member 1 makes member 2 give its change up
+
+  Scenario Outline: A change that would leave too little is refused
+    Given a register of 3 members with 1 spares
+    When member 3 of the register stops for 2000 ms
+    And member 1 of the register is ordered to <order>
+    Then the order is refused: "<why>"
+
+    Examples:
+      | order              | why                                                                      |
+      | remove member 2    | would leave 2 members, 3 are needed to bear the loss of 1                |
+      | replace member 2   | would leave 2 of 3 up with none to lose: bring back 10.0.0.3, or replace it first |
+      | add a stranger     | 10.9.9.9 is not ready: no learner of this system that all of the chain hear, filled and well |
+
+  Scenario: One that is lost for good is replaced
+    Given a register of 3 members with 1 spares
+    When member 3 of the register stops for 2000 ms
+    And member 1 of the register is ordered to replace member 3
+    Then the order is done, and no member is thin
+    When member 1 of the register stops for 2000 ms
+    Then the register serves with member 2 and a spare
+
+  Scenario: A stranger of another system is turned away
+    Given a register of 3 members with 1 spares
+    When the spare comes with the disk of another system
+    And 3000 ms pass in the register
+    Then no member counts the spare among its learners
+
+  Scenario: One that was taken out tells nothing, and learns that it is out
+    Given a register of 3 members with 1 spares
+    When member 1 of the register stops for 10 ms
+    And member 2 of the register is ordered to replace member 1 once that may be
+    And member 1 of the register starts
+    And 2000 ms pass in the register
+    Then member 1 of the register is a learner, and answers LATER
+
+  Scenario: The store of the revision before starts under this one
+    Given a register of 3 members with 1 spares
+    When all stop, and the members' disks hold what the revision before stored
+    And all members start again
+    Then the register is whole within 2000 ms, and a spare that comes may be taken in
+
+  Scenario: Every order of steps of a replacement, a view and a lost disk
+    Given a small world in which 3 replaces 0, then a view is proposed, and one disk is lost
+    Then each of its 513066 states keeps what was active
+    Given a small world in which 3 replaces 0, then 3 replaces 1, and one disk is lost
+    Then each of its 65589 states keeps what was active
+
+  Scenario Outline: Every order of steps finds what is broken on purpose
+    Given a small world in which <orders>, and one disk is lost
+    When it <breaks>
+    Then a state shows it
+
+    Examples:
+      | orders                                     | breaks           |
+      | 3 replaces 0, then a view is proposed      | counts_learners  |
+      | 3 replaces 0, then a view is proposed      | asks_new_alone   |
+      | 3 replaces 0, then a view is proposed      | fills_at_once    |
+      | 3 replaces 0, then 3 replaces 1            | heeds_nothing    |
+      | 3 replaces 0, then 0 replaces 1            | changes_unproven |
+
+  Scenario Outline: A second loss meets a majority
+    Given a register in which one was "<kind>"
+    Then a second loss at every 800 ms of 4000 to 7200 ms after finds a majority, and nothing told is lost
+
+    Examples:
+      | kind                           |
+      | lost its disk, back after 2 s  |
+      | left in order, back after 0.5 s |
+      | lost for good, replaced        |
+
+  Scenario: A head that is told to end hands over
+    Given a register of 3 members with 1 spares
+    When puts are made at member 2 of the register every 10 ms for 2000 ms, and the head is told to end after 500 ms
+    Then the longest time without an acknowledgement was under 150 ms
+    And the head ended within 300 ms, and the set is the first one
+
+  Scenario: One that is taken out answers what it was asked at once
+    Given a register of 3 members with 1 spares
+    When member 1 of the register is asked to put, and what it sends to the head is lost
+    And member 2 of the register is ordered to replace member 1
+    Then the put was answered LATER within 60 ms
+
+  Scenario: A member of the revision before works on, and no change is made while it runs
+    Given a register of 3 members with 1 spares
+    When member 3 of the register speaks as the revision before
+    And all members stop, and start again
+    Then the register is whole within 2000 ms, and takes puts
+    When member 1 of the register is ordered to replace member 2
+    Then the order is refused: "10.0.0.3 runs a revision that knows no changes of the members"
--- a/umbermoor/gateway/mast/core.py
+++ b/umbermoor/gateway/mast/core.py
@@ -7,40 +7,43 @@
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from typing import Any, Generator
 
 from umbermoor.gateway.almanac.configuration import check_slowly, read
 from umbermoor.gateway.almanac.faults import Fault
 from umbermoor.gateway.almanac.papers import Papers
 from umbermoor.gateway.anemometer.core import Steps
-from umbermoor.gateway.anemometer.plan import ROLLOUT, newer
+from umbermoor.gateway.anemometer.plan import ROLLOUT
+from umbermoor.gateway.anemometer.trial import ask as asked_of
+from umbermoor.gateway.anemometer.trial import first_record, step
 from umbermoor.gateway.barograph.member import Member
 from umbermoor.gateway.barograph.store import Store
-from umbermoor.gateway.effects import Answer, Code, Effect, Send, Write
+from umbermoor.gateway.effects import Answer, Code, Effect, Send, Verdict, Write
+from umbermoor.gateway.heliograph.deltas import Carrier
 from umbermoor.gateway.heliograph.reader import Reader as Pulls
 from umbermoor.gateway.heliograph.reader import Teller
 from umbermoor.gateway.logbook.calls import Call, Desk, Reply, call, reply, wrong
+from umbermoor.gateway.logbook.orders import CONFIG, configuration, digest_slowly, judge
 from umbermoor.gateway.mast.events import event, watch
 from umbermoor.gateway.mast.post import Line, Post, frame
 from umbermoor.gateway.screen.registry import (DRAINING, READY, SILENT, STANDINGS, Entry, Registry, beat_of,
                                                 entry_of)
 
 SECOND = 1_000_000
+CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)  # runs on while the machine is suspended, where it can
 TICK = 0.05  # s
 FRONTS = 6  # other fronts named in an answer: enough to meet the rest by
 BATCH = 0.01  # s: changes that come together are told together
 HEARD = 0.7  # s: for a majority to note what may not be lost
+HANDS_OVER = 2.0  # s: how long a member that is told to end waits at most until the chain goes on without it
+CHANGE = 4.5  # s: a change of the members is answered by then
 LATER = Reply(503, b"", ((b"retry-after", b"0.2"),))
 STATUS = {Code.OK: 200, Code.LATER: 503, Code.CLASH: 409, Code.WRONG: 422, Code.UNKNOWN: 404}
-CONFIG, MACHINES = "config", "machines"
+MACHINES = "machines"
+KEY_MOST = 64  # characters of an order's key
 SAVE = SECOND  # us: the list of machines is written no more often
 
 
-def admit(key: str, old: Any, new: Any) -> bool:
-    """Whether a put changes anything: of configurations the highest version holds."""
-    return newer(new, old) if key != CONFIG else old is None or new["revision"] > old["revision"]
-
-
 class Core:
     def __init__(self, papers: Papers, chance: random.Random) -> None:
         self.papers, self.chance = papers, chance
@@ -49,7 +52,10 @@
         seeds = [seed.rpartition(":")[0] for seed in papers.seeds]
         stored = self.store.load()
         machines = json.loads(stored.pop(MACHINES, b"[]"))
-        self.member = Member(papers.ip, seeds, papers.bear_machines, papers.cold, stored, admit, chance)
+        if self.store.lost:  # a disk that can't be believed is one that was lost, and no new system's
+            event("disk_lost", why=self.store.lost)
+        cold = papers.cold and not self.store.lost
+        self.member = Member(papers.ip, seeds, papers.bear_machines, cold, stored, judge, chance)
         self.registry = Registry(chance.getrandbits(40) | 1, papers.period_us)
         for entry in filter(None, map(entry_of, machines)):
             self.registry.take(self.now(), entry)
@@ -59,13 +65,23 @@
         self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
         self.asks: dict[int, asyncio.Future] = {}
         self.heards: dict[int, tuple[set[str], asyncio.Event]] = {}
-        self.number = 0
+        self.number = chance.getrandbits(40)  # an answer to an earlier life's question is none to this one's
         self.telling = False
-        self.body: tuple[int, bytes] = (0, b"")  # the frame of a configuration
+        self.leaving = 0  # until when it hands over, once it is told to end
+        self.bodies: dict[str, bytes] = {}  # frames of the newest configuration, by the base they stand on
+        self.bodies_of = 0  # its revision
+        self.carrier = Carrier()
+        self.texts = self.carrier.packer.texts
+        if held := self.member.held(CONFIG):
+            self.texts.add(held["text"])
         self.over = asyncio.Event()
 
     def now(self) -> int:
-        return round(time.monotonic() * SECOND)
+        return round(time.clock_gettime(CLOCK) * SECOND)
+
+    def connected(self) -> bool:
+        """Whether a majority proved contact within the lease."""
+        return self.member.connected_at(self.now())
 
     # Calls
 
@@ -74,22 +90,39 @@
         body = read(ask.body)
         if isinstance(body, Fault):
             return wrong(400, str(body))
-        steps = check_slowly(body)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as end:
-                fault = end.value
-                break
-            await asyncio.sleep(0)
+        fault = await self.slowly(check_slowly(body))
         if fault is not None:
             event("refused", what="configuration", why=str(fault))
             return wrong(400, str(fault))
-        value = {"revision": int(body["revision"], 16), "text": ask.body.decode()}
+        value = configuration(int(body["revision"], 16), ask.body.decode(), await self.slowly(digest_slowly(body)))
         answer = await self.ask(lambda now, number: self.member.put(now, number, CONFIG, value))
         event("taken" if answer.code is Code.OK else "untaken", what="configuration", revision=body["revision"],
-              code=answer.code.value)
-        return Reply(200) if answer.code is Code.OK else LATER
+              code=answer.code.value, **self.outcome(answer))
+        return self.told(answer)
+
+    @staticmethod
+    async def slowly(steps: Generator[None, None, Any]) -> Any:
+        """The end of a work in steps, with room for others between them."""
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return end.value
+            await asyncio.sleep(0)
+
+    @staticmethod
+    def outcome(answer: Answer) -> dict[str, Any]:
+        """For the log."""
+        return {"outcome": answer.value.outcome.value} if isinstance(answer.value, Verdict) else {}
+
+    @staticmethod
+    def told(answer: Answer) -> Reply:
+        """What an order's caller is told."""
+        if answer.code is Code.OK:
+            return Reply(200)
+        if answer.code is Code.LATER:
+            return LATER
+        return wrong(STATUS[answer.code], answer.value.why if isinstance(answer.value, Verdict) else answer.code.value)
 
     @call("GET", "/Config.Read")
     async def config(self, ask: Call) -> Reply:
@@ -110,7 +143,7 @@
         entry = beat_of(ask.name, body)
         if isinstance(entry, str):
             return wrong(400, entry)
-        if not self.member.connected:
+        if not self.connected():
             return LATER
         known = self.registry.entries.get(entry.id)
         if self.registry.take(self.now(), entry):
@@ -124,30 +157,29 @@
     async def gone(self, ask: Call) -> Reply:
         entry = self.registry.gone(self.now(), ask.name)
         self.tell_soon()
-        return Reply(200) if self.member.connected and await self.note(entry) else LATER
+        return Reply(200) if self.connected() and await self.note(entry) else LATER
 
     @call("POST", "/Rollouts.Begin")
     async def begin(self, ask: Call) -> Reply:
         try:
             body = ask.json()
-            service, target, ramp = body["service"], body["target"], body["rampS"]
-        except (ValueError, RecursionError, TypeError, KeyError) as error:
+            service, target, ramp, key = body["service"], body["target"], body["rampS"], body.get("key", "")
+        except (ValueError, RecursionError, TypeError, KeyError, AttributeError) as error:
             return wrong(400, f"a roll-out names service, target and rampS: {error}")
         if not isinstance(service, str) or not 0 < len(service) <= 200 or not isinstance(target, str):
             return wrong(400, "service, target: not texts")
-        if not self.member.connected:
-            return LATER
-        present = [entry.revision for entry in self.registry.entries.values()
-                   if entry.service == service and entry.state in (READY, SILENT)]
-        if not present and CONFIG in self.member.committed and service not in json.loads(
-                self.member.committed[CONFIG]["text"])["services"]:
-            return wrong(404, f"service: unknown, {service}")
-        record = self.steps.begin(self.now(), service, target, ramp, present)
-        if isinstance(record, Code):
-            return reply(STATUS[record])
-        answer = await self.ask(lambda now, number: self.member.put(now, number, ROLLOUT + service, record))
-        event("begin", service=service, target=target, ramp_s=ramp, code=answer.code.value)
-        return reply(STATUS[answer.code])
+        if not isinstance(key, str) or len(key) > KEY_MOST:
+            return wrong(400, f"key: not a text of {KEY_MOST} characters at most")
+        if not target or isinstance(ramp, bool) or not isinstance(ramp, (int, float)) or not 0 < ramp < float("inf"):
+            return wrong(422, "target: empty, or rampS: not a number above 0")
+        present = sorted({entry.revision for entry in self.registry.entries.values()
+                          if entry.service == service and entry.state in (READY, SILENT)})
+        order = asked_of(target, ramp, present, key)
+        # A head of the earlier revision puts what is beside `begin`: what this member's own copy makes of the order.
+        value = first_record(self.member.committed.get(ROLLOUT + service), order) | {"begin": order}
+        answer = await self.ask(lambda now, number: self.member.put(now, number, ROLLOUT + service, value))
+        event("begin", service=service, target=target, ramp_s=ramp, code=answer.code.value, **self.outcome(answer))
+        return self.told(answer)
 
     @call("GET", "/Rollouts.Read/")
     async def rollout(self, ask: Call) -> Reply:
@@ -163,7 +195,8 @@
     async def story(self, ask: Call) -> Reply:
         return reply(200, {**self.member.story(), "machines": len(self.registry.entries),
                            "connected": self.member.connected, "pulls": len(self.teller.waiting),
-                           "name": self.papers.name, "everyone": list(self.member.everyone)})
+                           "name": self.papers.name, "everyone": list(self.member.everyone),
+                           "lacks": self.carrier.lacks})
 
     @call("GET", "/Machines")
     async def machines(self, ask: Call) -> Reply:
@@ -175,14 +208,42 @@
                      "heardS": round((now - registry.heard(one.id)) / SECOND, 3)}
             for one in registry.entries.values()}})
 
-    async def ask(self, put: Any) -> Answer:
+    @call("GET", "/Members")
+    async def members(self, ask: Call) -> Reply:
+        """Who counts, who is in the chain, who could be taken in."""
+        member, story = self.member, self.member.story()
+        return reply(200, {"set": story["set"], "members": story["members"], "chain": story["chain"],
+                           "learners": {name: name in member.learners() for name in story["learners"]},
+                           "thin": story["thin"], "bear": self.papers.bear_machines, "connected": member.connected})
+
+    @call("POST", "/Members.Change")
+    async def change(self, ask: Call) -> Reply:
+        """One more member (`add`), one fewer (`remove`), or one in the place of another; `dry`: only says what that
+        would leave."""
+        try:
+            body = ask.json()
+            add, remove, dry = body.get("add", ""), body.get("remove", ""), body.get("dry", False)
+        except (ValueError, RecursionError, AttributeError) as error:
+            return wrong(400, f"a change of the members is JSON with add, remove, dry: {error}")
+        if not (isinstance(add, str) and isinstance(remove, str) and isinstance(dry, bool)
+                and len(add) <= 64 and len(remove) <= 64 and (add or remove)):
+            return wrong(400, "add, remove: IP addresses, one at least; dry: true or false")
+        answer = await self.ask(lambda now, number: self.member.change(now, number, add, remove, dry), CHANGE)
+        told = answer.value or {}
+        event("members", add=add or "none", remove=remove or "none", dry=dry, code=answer.code.value,
+              set=told.get("number", ""), why=told.get("why", ""))
+        if answer.code is Code.LATER:
+            return LATER
+        return reply(STATUS[answer.code], {**told, "error": told["why"]} if told.get("why") else told)
+
+    async def ask(self, put: Any, within: float = 0.9) -> Answer:
         """Passes a call to the chain and waits for its end."""
         self.number += 1
         number, future = self.number, asyncio.get_running_loop().create_future()
         self.asks[number] = future
         try:
             self.carry(put(self.now(), number))
-            async with asyncio.timeout(0.9):
+            async with asyncio.timeout(within):
                 return await future
         except TimeoutError:
             return Answer(number, Code.LATER)
@@ -208,7 +269,7 @@
             del self.heards[number]
 
     def enough(self, number: int) -> bool:
-        return 2 * len(self.heards[number][0]) > max(1, len(self.member.everyone))
+        return self.member.sets.quorum(self.heards[number][0])
 
     # Messages
 
@@ -232,20 +293,25 @@
                 held[0].add(line.peer)
                 if self.enough(message["number"]):
                     held[1].set()
-        elif kind == "reports" and isinstance(message.get("reports"), list):
+        elif kind == "reports" and isinstance(message.get("reports"), list) and self.connected():
             for report in message["reports"]:
                 try:
                     self.steps.report(now, line.peer, report)
                 except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
                     event("garbled", what="report", source=line.peer, why=error)
-        elif kind == "chain" and isinstance(message.get("body"), dict):
-            self.carry(self.member.message(now, line.peer, message["body"]))
+        elif kind in ("chain", "holds"):
+            body, frames = self.carrier.receive(line.peer, self.member.listens(line.peer), message)
+            for one in frames:
+                self.post.send(line.peer, one)
+            if body is not None:
+                self.carry(self.member.message(now, line.peer, body))
 
     def learn(self, now: int, entries: list[Entry]) -> None:
         if any([self.registry.take(now, entry) for entry in entries]):
             self.tell_soon()
 
     def lost(self, line: Line) -> None:
+        self.carrier.lost(line.peer)
         self.teller.closed(line)
         self.pulls.failed(self.now(), line.peer)
 
@@ -253,7 +319,8 @@
         """Does what the chain's member returned."""
         for effect in effects:
             if isinstance(effect, Send):
-                self.post.send(effect.to, {"kind": "chain", "body": effect.message})
+                for one in self.carrier.send(effect.to, effect.message):
+                    self.post.send(effect.to, one)
             elif isinstance(effect, Write):
                 asyncio.get_running_loop().run_in_executor(self.disk, self.store.write, effect.puts).add_done_callback(
                     lambda done, token=effect.token: self.written(token, done.result()))
@@ -273,7 +340,11 @@
         if done:
             self.carry(self.member.written(self.now(), token))
         else:
-            event("unwritten", token=token)
+            event("unwritten", token=token, why="full" if self.store.full else "refused")
+            if self.store.lost and not self.store.open:
+                event("disk_lost", why=self.store.lost)
+                self.over.set()  # it is started again, and finds that its disk counts as lost
+                return
             self.carry(self.member.unwritten(self.now(), token))
 
     def head(self) -> str:
@@ -311,12 +382,24 @@
             line.send(frame({
                 "kind": "news", "life": registry.life, "number": registry.number, "machines": registry.after(known),
                 "register": list(member.version), "keys": keys if pull["register"] != list(member.version) else {},
-                "everyone": list(member.everyone), "head": self.head(), "firm": member.connected, "revision": revision,
+                "everyone": list(member.sets.members), "set": member.sets.number, "head": self.head(),
+                "firm": self.connected(), "revision": revision,
                 "fronts": fronts}))
             if pull.get("want") and revision > pull["revision"]:
-                if self.body[0] != revision:
-                    self.body = revision, frame({"kind": "body", "text": config["text"]})
-                line.send(self.body[1])
+                line.send(self.body(revision, config["text"], pull["base"]))
+
+    def body(self, revision: int, text: str, base: Any) -> bytes:
+        """The frame of the configuration, by what it changes for one who holds `base`, if that is held here too."""
+        if self.bodies_of != revision:
+            self.bodies_of, self.bodies = revision, {}
+        base = base if self.texts.get(base) is not None else ""
+        made = self.bodies.get(base)
+        if made is None:
+            change = self.carrier.packer.change(base, text)
+            short = change is not None and 2 * len(change[2]) < len(text)
+            made = self.bodies[base] = frame({"kind": "body", "delta": change} if short
+                                             else {"kind": "body", "text": text})
+        return made
 
     # Clocks
 
@@ -325,7 +408,7 @@
         from hypercorn.config import Config
         loop = asyncio.get_running_loop()
         watch(loop)
-        loop.add_signal_handler(signal.SIGTERM, self.over.set)
+        loop.add_signal_handler(signal.SIGTERM, self.leave)
         loop.add_signal_handler(signal.SIGHUP, lambda: event("sighup"))
         await self.post.listen()
         config = Config()
@@ -344,26 +427,43 @@
         ticking.cancel()
         event("end")
 
+    def leave(self) -> None:
+        """Told to end: the chain goes on without this member first, if the others can. The set stays as it is."""
+        if not self.leaving:
+            self.leaving = self.now() + round(min(HANDS_OVER, self.papers.margin_us("graceS", 6.0) / 3e6) * SECOND)
+            self.carry(self.member.leave(self.now()))
+
+    def hand_over(self, now: int) -> None:
+        if self.leaving and not self.over.is_set() and (self.member.left or now >= self.leaving):
+            event("left", handed_over=self.member.left, epoch=self.member.story()["epoch"])
+            self.over.set()
+
     async def ticks(self) -> None:
         shown = None
+        thin = None
         while True:
             now = self.now()
             self.carry(self.member.tick(now))
-            self.pulls.everyone = self.member.everyone
+            self.pulls.everyone = self.member.sets.members
             if self.member.connected and self.head() == self.papers.ip:
                 for service, record in self.steps.tick(now):
                     self.number += 1
-                    self.carry(self.member.put(now, self.number, ROLLOUT + service, record))
+                    value = step(record, self.steps.orders[service].record, self.member.story()["epoch"])
+                    self.carry(self.member.put(now, self.number, ROLLOUT + service, value))
             self.registry.tick(now, self.member.connected)
             self.save(now)
             self.pulls.forget(now)
-            if any(name != self.papers.ip and name not in self.pulls.sources for name in self.member.everyone):
+            if self.member.counted and {*self.pulls.sources, self.papers.ip} != {*self.member.everyone}:
                 self.pulls.members(self.member.everyone)
             for name in self.pulls.due(now):
                 self.post.send(name, self.pulls.pull(now, name))
             if any(now >= until for until, _ in self.teller.waiting.values()):
                 self.tell_soon()
+            self.hand_over(now)
             story = self.member.story()
+            if (story["set"], story["thin"]) != thin:
+                thin = story["set"], story["thin"]
+                event("set", number=story["set"], members=",".join(story["members"]) or "none", thin=story["thin"])
             view = story.get("epoch"), story.get("chain"), story.get("role"), self.member.connected
             if view != shown:
                 shown = view
