--- a/tests/gateway/features/control.feature
+++ b/tests/gateway/features/control.feature
@@ -58,6 +58,8 @@
       | 0-1 5a ?, 2-3 read 5a, 4-5 read -               | broken  |
       | 0-1 5a ?, 2-3 4b older                          | sound   |
       | 0-1 4b older                                    | broken  |
+      | 0-1 3a ?, 0-1 5a ?, 2-3 2b older, 4-5 3a older  | sound   |
+      | 0-1 3a ?, 2-3 2b older, 4-5 3a older            | broken  |
       | 0-1 5a taken, 2-3 6a taken, 4-5 5a clash        | broken  |
       | 0-1 5a taken, 2-3 6a taken, 4-5 5b older        | broken  |
       | 0-9 5a taken, 1-2 read 5a, 3-4 5b clash         | sound   |
@@ -82,3 +84,21 @@
       | Alone         | 60    |
       | Hasty         | 10    |
       | Twice         | 60    |
+
+  Scenario Outline: The <place> is in trouble for 20 s: <way>
+    Then the control's <place> in trouble "<way>" for 20 s tells nothing beyond its lease, and all again soon after
+
+    Examples:
+      | place  | way    |
+      | head   | to     |
+      | head   | from   |
+      | head   | both   |
+      | head   | frozen |
+      | middle | to     |
+      | middle | from   |
+      | middle | both   |
+      | middle | frozen |
+      | tail   | to     |
+      | tail   | from   |
+      | tail   | both   |
+      | tail   | frozen |
--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -25,6 +25,11 @@
     When member 2 of the register has begun a change, and learns that member 1 has made another
     Then the promise of member 1 makes member 2 give its change up
 
+  Scenario: One that learns in the midst of an attempt that it was taken out gives it up
+    Given a register of 3 members with 2 spares
+    When member 2 of the register has begun a view, and the others promise it and tell of a set without it
+    Then member 2 of the register has sent no new view
+
   Scenario Outline: A change that would leave too little is refused
     Given a register of 3 members with 1 spares
     When member 3 of the register stops for 2000 ms
@@ -113,3 +118,71 @@
     Then the register is whole within 2000 ms, and takes puts
     When member 1 of the register is ordered to replace member 2
     Then the order is refused: "10.0.0.3 runs a revision that knows no changes of the members"
+
+  Scenario: One that the platform started in the place of a lost member succeeds it
+    Given a register of 3 members with 3 spares that count by the platform's word
+    And the spares of the register stop
+    When member 2 of the register stops for 3000 ms
+    And member 5 of the register starts
+    Then within 2500 ms member 5 of the register is a member in the place of member 2, and none is thin
+    When member 2 of the register starts
+    And 5000 ms pass in the register
+    Then member 2 of the register is a learner, and answers LATER
+
+  Scenario: No change puts a majority into one zone
+    Given a register of 3 members with 3 spares that count by the platform's word
+    When 1500 ms pass in the register
+    And member 1 of the register is ordered to replace member 2
+    Then the order is refused: "would leave a majority in zone z0, where none is now"
+    When member 2 of the register is ordered to replace member 1
+    Then the order is done, and no member is thin
+
+  Scenario Outline: Nobody is taken out by silence, whoever stands by
+    Given a register of 3 members with 3 spares that count by the platform's word
+    And the spares of the register stop
+    When <first>
+    And <second>
+    And 20000 ms pass in the register
+    Then the members of the register are the first ones
+
+    Examples:
+      | first                                              | second                                              |
+      | member 5 of the register starts                    | member 2 of the register stops for 3000 ms          |
+      | member 2 of the register stops for 3000 ms         | member 4 of the register starts                     |
+      | member 5 of the register starts                    | member 2 of the register is cut off                 |
+      | member 2 and member 3 of the register are cut off  | successors of both start beside the one that is left |
+
+  Scenario: A newcomer whose seeds are all gone comes by an operator's order
+    Given a register of 3 members with 1 spares
+    When the spare starts anew, with seeds that nobody is at
+    And 2000 ms pass in the register
+    Then no member counts the spare among its learners
+    When member 1 of the register is ordered to replace member 2
+    And 2500 ms pass in the register
+    And member 1 of the register is ordered to replace member 2
+    Then the order is done, and no member is thin
+
+  Scenario: A learner holds on its disk what it is to be taken in with
+    Given a register of 3 members with 1 spares
+    When puts are made in the register for 1000 ms
+    And 1500 ms pass in the register
+    Then the disk of the spare holds what is committed
+    When the spare is killed and starts
+    Then the spare is a learner, and no member takes it for one that is ready
+    When 2500 ms pass in the register
+    And member 1 of the register is ordered to replace member 2
+    Then the order is done, and no member is thin
+
+  Scenario: What a learner held does not come into a system that is founded anew
+    Given a register of 3 members with 1 spares
+    When puts are made in the register for 1000 ms
+    And 1500 ms pass in the register
+    And the disk of the spare comes to a member of a new system
+    Then the new system holds nothing
+
+  Scenario: A newcomer whose disk does not write is not taken in
+    Given a register of 3 members with 1 spares
+    When the disk of the spare hangs
+    And puts are made in the register for 2500 ms
+    And member 1 of the register is ordered to replace member 2
+    Then the order is refused: "10.0.0.100 is not ready: no learner of this system that all of the chain hear, filled and well"
--- a/umbermoor/gateway/mast/front.py
+++ b/umbermoor/gateway/mast/front.py
@@ -64,6 +64,7 @@
         self.buffers = Buffers(papers.memory_mb << 20)
         self.pool = Pool(self.buffers, self.clock, self.may)
         self.pulls = Pulls([seed.rpartition(":")[0] for seed in papers.seeds])
+        self.pulls.salt = chance.getrandbits(32)
         self.post = Post(papers.ip, papers.ports[0], self.receive, self.lost)
         self.lines: set[ClientLine] = set()
         self.going: dict[int, Going] = {}  # by id of its slot
@@ -218,7 +219,8 @@
     def leave_out(self, going: Going) -> None:
         """Attempts that are out when a request ends may go on until its time is over, and no longer: of a machine that
         went dark nothing comes, not even an end."""
-        self.take_back(going)
+        if going.out:
+            self.take_back(going)
         if going.out:
             left = max(0, going.exchange.due - self.now()) / SECOND + OVERTIME
             asyncio.get_running_loop().call_later(left, self.give_up, going)
@@ -266,7 +268,7 @@
                 if heard.firm and ROLLOUT + service not in self.pulls.register:
                     self.trials.order(now, service, None)
                 self.trials.listed(now, service, [(one.id, one.entry.revision, one.listed)
-                                                  for one in self.plants.listed(service)])
+                                                  for one in self.plants.judged(service)])
             self.plants.changed.clear()
             self.sonde.heard_of(now, [one for one in message.get("fronts", ()) if isinstance(one, str)])
             if heard.want:
