--- a/tests/gateway/features/members.feature
+++ b/tests/gateway/features/members.feature
@@ -116,9 +116,20 @@
     When member 3 of the register speaks as the revision before
     And all members stop, and start again
     Then the register is whole within 2000 ms, and takes puts
+    And the others know that member 3 judges no puts, should it be the head
     When member 1 of the register is ordered to replace member 2
     Then the order is refused: "10.0.0.3 runs a revision that knows no changes of the members"
 
+  Scenario: Nor while one of the revision before is away, as it would not learn of the change when it is back
+    Given a register of 5 members with 1 spares
+    When member 5 of the register speaks as the revision before
+    And 500 ms pass in the register
+    And member 5 of the register stops for 2500 ms
+    And member 1 of the register is ordered to add member 6
+    Then the order is refused: "10.0.0.5 runs a revision that knows no changes of the members"
+    When member 1 of the register is ordered to replace member 5 once that may be
+    Then the set of the register has the spare in the place of member 5
+
   Scenario: One that the platform started in the place of a lost member succeeds it
     Given a register of 3 members with 3 spares that count by the platform's word
     And the spares of the register stop
@@ -129,6 +140,15 @@
     And 5000 ms pass in the register
     Then member 2 of the register is a learner, and answers LATER
 
+  Scenario: Also where all others were restarted meanwhile
+    Given a register of 3 members with 3 spares that count by the platform's word
+    And the spares of the register stop
+    When member 2 of the register stops for 1000 ms
+    And the members of the register that run restart
+    And 3000 ms pass in the register
+    And member 5 of the register starts
+    Then within 2500 ms member 5 of the register is a member in the place of member 2, and none is thin
+
   Scenario: No change puts a majority into one zone
     Given a register of 3 members with 3 spares that count by the platform's word
     When 1500 ms pass in the register
@@ -150,6 +170,7 @@
       | member 5 of the register starts                    | member 2 of the register stops for 3000 ms          |
       | member 2 of the register stops for 3000 ms         | member 4 of the register starts                     |
       | member 5 of the register starts                    | member 2 of the register is cut off                 |
+      | member 2 of the register stops for 1000 ms         | member 5 starts, and those that run restart         |
       | member 2 and member 3 of the register are cut off  | successors of both start beside the one that is left |
 
   Scenario: A newcomer whose seeds are all gone comes by an operator's order
--- a/tests/gateway/features/steps/members_steps.py
+++ b/tests/gateway/features/steps/members_steps.py
@@ -326,6 +326,23 @@
     world._carry = speak
 
 
+@then("the others know that member {number:d} judges no puts, should it be the head")
+def _(context: Any, number: int) -> None:
+    for name in context.sets.first:
+        member = context.sets.machines[name].member
+        assert member.judged
+        view, last = member._view, named(context, number)
+        member._view = view._replace(chain=(last, *(one for one in view.chain if one != last)))
+        assert member.judged == (name == last), name
+        member._view = view
+
+
+@then("the set of the register has the spare in the place of member {number:d}")
+def _(context: Any, number: int) -> None:
+    world: Sets = context.sets
+    assert {*world.members()} == {*world.first, "10.0.0.100"} - {named(context, number)}, world.members()
+
+
 @when("all members stop, and start again")
 def _(context: Any) -> None:
     for name in context.sets.first:
@@ -362,6 +379,24 @@
     assert named(context, new) in world.members() and named(context, old) not in world.members()
 
 
+@when("the members of the register that run restart")
+def _(context: Any) -> None:
+    world: Sets = context.sets
+    running = [name for name in world.first if world.machines[name].member]
+    for name in running:
+        world.stop(name)
+    for name in running:
+        world.start(name)
+
+
+@when("member 5 starts, and those that run restart")
+def _(context: Any) -> None:
+    context.execute_steps("""
+        When member 5 of the register starts
+        And the members of the register that run restart
+    """)
+
+
 @when("member {number:d} of the register is cut off")
 def _(context: Any, number: int) -> None:
     cut_off(context, [number])
--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -111,6 +111,7 @@
         first = membership.founded(self.everyone, json.loads(stored.get("system", b"0"))) if self.everyone else NONE
         self._held_sets = membership.read(sets[0]) if sets[0] else first  # of the view that was accepted last
         self._proven: tuple[int, Membership] = (sets[1], membership.read(sets[2])) if sets[2] else (0, first)
+        self._zones_kept: dict[str, str] = json.loads(stored.get("zones", b"{}"))  # of the other members, as last told
         self._outside = Peers(me, LEARNERS)  # learners
         self._change: tuple[int | None, int, str, str] | None = None  # ask (None: by itself), until when, add, remove
         self._leaving = False
@@ -257,14 +258,24 @@
         look = membership.outlook(present, self._view.chain, self.learners(), add, remove, self.bear)
         if not look.why and (zone := crowded(present.members, look.members, self._zones())):
             look = look._replace(why=f"would leave a majority in zone {zone}, where none is now")
-        if not look.why and (old := self._of_an_earlier_revision()):
+        if not look.why and (old := self._of_an_earlier_revision(remove)):
             look = look._replace(why=f"{old} runs a revision that knows no changes of the members")
         return look
 
     def _zones(self) -> dict[str, str]:
         names = *self.everyone, *self._outside.names()
         known = {who: self._peers.get(who) or self._outside.get(who) for who in names}
-        return {self.me: self._zone} | {who: peer.zone for who, peer in known.items() if peer}
+        told = {who: peer.zone for who, peer in known.items() if peer and peer.zone}
+        return self._zones_kept | told | {self.me: self._zone}
+
+    def _keep_zones(self) -> None:
+        """One that is gone may be succeeded in its zone, also after a restart of those who heard it."""
+        zones = self._zones()
+        kept = {who: zones[who] for who in self._others() if zones.get(who)}
+        if kept != self._zones_kept:
+            self._zones_kept = kept
+            if not self._blank and self._settled:
+                self._disk.want({"zones": write_json(kept)}, "zones", _nothing)
 
     def learners(self) -> list[str]:
         """Strangers that could be taken in now: heard by the chain and hearing it, steadily, well, and to be filled."""
@@ -315,6 +326,12 @@
         self._at(now)
         return self.connected
 
+    @property
+    def judged(self) -> bool:
+        """Whether the head judges puts, as far as is known here; one of the revision before takes what is newer."""
+        peer = self._peers.get(self._view.chain[0]) if self._view.chain else None
+        return peer is None or "number" in peer.ping
+
     def listens(self, sender: str) -> bool:
         """Whether what that one says of the chain is taken at all."""
         return self._listens(sender, "append")
@@ -472,6 +489,8 @@
             self._send(sender, "ping", **self._ping(), **self._echo(sender), **self._sets_for(sender))
         if not self.everyone:
             return
+        if "zone" in ping and self.counted:
+            self._keep_zones()
         if (peer := self._peers.get(sender)) and peer.ping is ping:
             self._contact.heard(self._now, sender, ping, self._life)
         if ping["promise"] and not ping["blank"] and self._settled and self._is_founder() and not self._promise:
@@ -537,6 +556,7 @@
         return {
             "sets": write_json([self._held_sets.told(), epoch, proven.told()]),
             "members": write_json(self.everyone),
+            "zones": write_json(self._zones_kept),
         }
 
     def _keep_sets(self) -> None:
@@ -677,7 +697,7 @@
             since = max(self._joined_at, peer.joined_at if peer and peer.joined == self._joined else 0)
             if who != self.me and self._now - since > SILENCE and self._dispensable(who):
                 return "silent", rank * 80 * MS + self._chance.randrange(100 * MS), frozenset((who,))
-        if self._acked < self._sent and self._now - self._progress > TARDY:
+        if self._acked < self._sent and self._now - self._progress > TARDY and self._disk.well(self._now):
             return "tardy", 0, frozenset((self._held.chain[self._place() + 1],))
         if any(self._may_enter(who, peer) for who, peer in self._peers.heard(self._now).items()):
             return "enter", self._place() * 250 * MS + self._chance.randrange(100 * MS), nobody
@@ -686,8 +706,16 @@
     def _dispensable(self, who: str) -> bool:
         """Whether a chain without it can be: it is not heard, or enough others are whose disks are well."""
         heard = self._peers.heard(self._now)
-        well = [self.me, *(other for other, peer in heard.items() if other != who and peer.ping["well"])]
-        return who not in heard or self.sets.quorum(well)
+        well = [other for other, peer in heard.items() if other != who and peer.ping["well"]]
+        return who not in heard or self.sets.quorum([*well, self.me] if self._disk.well(self._now) else well)
+
+    def _may_propose(self) -> bool:
+        """Whether its disk is well; or it is slow only, and so are too many for the others to go on without it."""
+        if self._disk.well(self._now):
+            return True
+        heard = self._peers.heard(self._now).items()
+        well = [who for who, peer in heard if peer.ping["well"] and not peer.ping["blank"]]
+        return self._disk.works(self._now) and not self.sets.quorum(well)
 
     def _can_do_without(self, leaver: str) -> bool:
         """Whether the rest of the chain, as far as it is heard, is a majority."""
@@ -706,11 +734,9 @@
         )
 
     def _consider(self) -> None:
-        if self._blank or not self._settled or not self._promise or self._attempt or not self._disk.well(self._now):
-            return
-        if not self.counted:
+        if self._blank or not self._settled or not self._promise or self._attempt or not self.counted:
             return
-        if self._now < self._patience:
+        if self._now < self._patience or not self._may_propose():
             return
         cause, delay, shunned = self._find_cause()
         due = self._now + delay
@@ -726,9 +752,12 @@
         members = self.sets.members
         return bool(add or remove) and (not add or add in members) and (not remove or remove not in members)
 
-    def _of_an_earlier_revision(self) -> str:
-        for who in self._view.chain:
-            if who != self.me and (peer := self._peers.get(who)) and "number" not in peer.ping:
+    def _of_an_earlier_revision(self, remove: str) -> str:
+        """A member as it was last heard, also one that is away: back, it would fence with the majority that it knows.
+        One that is removed knows too few who listen to it then."""
+        for who in self.everyone:
+            away = who not in self._view.chain
+            if not (away and who == remove) and (peer := self._peers.get(who)) and "number" not in peer.ping:
                 return who
         return ""
 
@@ -745,15 +774,16 @@
         if len(missing) != 1 or not set(chain) <= set(members):
             return "", ""
         gone = self._peers.get(missing[0])
-        if gone is None or not gone.zone or self._now - gone.last < GONE:
+        zone, last = self._zones().get(missing[0]), gone.last if gone else self._began  # not heard in this life
+        if not zone or self._now - last < GONE:
             return "", ""
         others = [self._peers.get(who) for who in chain if who != self.me]
         if any(peer is None or missing[0] in peer.ping["hears"] for peer in others):
             return "", ""
         for who in self.learners():
             peer = self._outside.get(who)
-            fit = peer and peer.ping["blank"] and peer.ping.get("quorum") and peer.zone == gone.zone
-            if peer and fit and peer.last - peer.ping.get("age", 1 << 60) > gone.last + SILENCE:
+            fit = peer and peer.ping["blank"] and peer.ping.get("quorum") and peer.zone == zone
+            if peer and fit and peer.last - peer.ping.get("age", 1 << 60) > last + SILENCE:
                 return who, missing[0]
         return "", ""
 
