--- a/umbermoor/gateway/barograph/member.py
+++ b/umbermoor/gateway/barograph/member.py
@@ -996,11 +996,16 @@
             state = self._state
         self._join(sender, View(epoch, chain), sets, state)
 
-    def _join(self, sender: str, view: View, sets: Membership, state: Mapping[str, Any]) -> None:
+    def _state_puts(self, state: Mapping[str, Any]) -> dict[str, bytes | None]:
+        """What is to be written for the map to become that one."""
         puts: dict[str, bytes | None] = {f"state/{key}": None for key in self._state if key not in state}
         for key, value in state.items():
             if key not in self._state or self._state[key] != value:
                 puts[f"state/{key}"] = write_json(value)
+        return puts
+
+    def _join(self, sender: str, view: View, sets: Membership, state: Mapping[str, Any]) -> None:
+        puts = self._state_puts(state)
         puts["promise"] = write_json(view.epoch)
         puts["view"] = write_json(view)
         puts["version"] = write_json((view.epoch, 0))
@@ -1294,10 +1299,7 @@
 
     def _fill(self, version: Version, state: Mapping[str, Any]) -> None:
         """A learner keeps what it learns: that shows that its disk writes, and who is taken in writes little then."""
-        puts: dict[str, bytes | None] = {f"state/{key}": None for key in self._state if key not in state}
-        for key, value in state.items():
-            if key not in self._state or self._state[key] != value:
-                puts[f"state/{key}"] = write_json(value)
+        puts = self._state_puts(state)
         self._state = dict(state)
         self._disk.want({**puts, "learner": write_json(version)}, "fill", self._have_filled)
 
