--- a/tests/gateway/features/steps/client_connections_steps.py
+++ b/tests/gateway/features/steps/client_connections_steps.py
@@ -13,7 +13,8 @@
     Client,
     answer,
 )
-from umbermoor.gateway.server.client_connection import ClientConnection, abort_slow_readers
+from umbermoor.gateway.server.client_connection import ClientConnection
+from umbermoor.gateway.server.slow_readers import abort_slow_readers
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Reader
 
--- a/umbermoor/gateway/server/client_connection.py
+++ b/umbermoor/gateway/server/client_connection.py
@@ -6,19 +6,21 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import TYPE_CHECKING, cast
 
 from umbermoor.gateway.balancing.attempt_outcomes import SINGLE_VALUE_HEADERS
 from umbermoor.gateway.routing.route_table import ClientLimits
 from umbermoor.gateway.server.http_messages import response_bytes
 from umbermoor.gateway.server.peer_transport import tune_socket
+from umbermoor.gateway.server.pending_request import PendingRequest, ResponseParts
+from umbermoor.gateway.server.request_audit import RequestAudit, UnansweredCause
 from umbermoor.gateway.units import SECOND
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Fault, Reader, Request
 
 if TYPE_CHECKING:
-    from umbermoor.gateway.server.request_handler import ActiveRequest, RequestHandler
+    from umbermoor.gateway.server.request_handler import RequestHandler
 
 REQUEST_TIMEOUT = 408
 
@@ -34,27 +36,6 @@
 MIN_READ_BYTES = 4096
 IDLE_GRACE_S = 1.0  # closed so long after the idle time that a client was told
 
-ResponseParts = tuple[int, bytes, dict[str, str]]  # status, body, headers
-
-
-class PendingRequest:
-    """A request of a connection whose response has not left.
-
-    Attributes:
-        request: The request; None where it was malformed.
-        response: Its response, once there is one.
-        started: Whether it was handed to the request handler.
-        active: Its state there, as long as it is worked at.
-    """
-
-    __slots__ = ("active", "request", "response", "started")
-
-    def __init__(self, request: Request | None, response: ResponseParts | None = None) -> None:
-        self.request = request
-        self.response = response
-        self.started = response is not None
-        self.active: ActiveRequest | None = None
-
 
 class ClientConnections:
     """All connections of clients.
@@ -63,6 +44,7 @@
         buffers: The memory that partly read requests share.
         clock: Seconds of a steady clock.
         handler: Takes the requests.
+        audit: Counts the requests that are begun, and those that get no answer.
         connections: Those that are open.
         draining: Whether the proxy ends: no connection is kept behind its last response.
         keep_alive_s: How long clients are told that a connection may stay idle.
@@ -77,6 +59,7 @@
         self.buffers = buffers
         self.clock = clock
         self.handler = handler
+        self.audit = RequestAudit(clock)
         self.connections: set[ClientConnection] = set()
         self.draining = False
         self.keep_alive_s = 10
@@ -96,6 +79,11 @@
         self.header_timeout_s = limits.header_timeout_us / SECOND
         self.max_body_bytes = min(MAX_BODY_BYTES, limits.body_bytes)
 
+    def report_unanswered(self) -> None:
+        """Counts the requests that get no answer because the process ends now."""
+        for connection in self.connections:
+            connection.report_unanswered(UnansweredCause.PROCESS_ENDED)
+
     def sweep(self) -> None:
         """Closes what has been idle or slow for too long."""
         now = self.clock()
@@ -113,6 +101,7 @@
     """One client's connection. The handler answers each request by `respond`."""
 
     __slots__ = (
+        "accepted_at",
         "clients",
         "closing",
         "end_received",
@@ -146,6 +135,7 @@
         self.end_sent = False
         self.last_activity = 0.0
         self.request_began_at: float | None = None  # of a request that is partly read
+        self.accepted_at = clients.clock()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begins, where there are not too many."""
@@ -163,7 +153,8 @@
         if self.closing:
             self.lingers = True  # and no more time: what it sends now is not read
             return
-        self.last_activity = self.clients.clock()
+        now = self.last_activity = self.clients.clock()
+        first_byte_at = now if self.request_began_at is None else self.request_began_at
         found: list[Request | Fault] = self.reader.feed(data)  # type: ignore[assignment]
         if not self.reader.mid_message:
             self.request_began_at = None
@@ -174,7 +165,10 @@
                 self.pending.append(PendingRequest(None, (message.status, b"", {})))
                 self.closing = self.lingers = True
                 break
-            self.pending.append(PendingRequest(message))
+            self.pending.append(
+                PendingRequest(message, None, first_byte_at, now, len(self.pending))
+            )
+            first_byte_at = now
             if not message.keep_alive:
                 self.closing = True
                 break
@@ -209,8 +203,7 @@
             pending = self.pending[0]
             request = pending.request
             if request is not None and not pending.started and not self.writing_paused:
-                pending.started = True
-                self.clients.handler.handle(self, pending, request)
+                self._start(pending, request)
             return
         for position, pending in enumerate(self.pending[:MAX_PIPELINED_REQUESTS]):
             request = pending.request
@@ -221,11 +214,15 @@
             if not pending.started:
                 if position and not idempotent:
                     return
-                pending.started = True
-                self.clients.handler.handle(self, pending, request)
+                self._start(pending, request)
             if not idempotent:
                 return
 
+    def _start(self, pending: PendingRequest, request: Request) -> None:
+        pending.started = True
+        self.clients.audit.begun(pending)
+        self.clients.handler.handle(self, pending, request)
+
     def respond(
         self, pending: PendingRequest, status: int, body: bytes, headers: dict[str, str]
     ) -> None:
@@ -299,11 +296,24 @@
         """Gives up the requests that are worked at."""
         self.clients.connections.discard(self)
         self.reader.drop()
+        self.report_unanswered(self._unanswered_cause(error))
         for pending in self.pending:
             if pending.active is not None:
                 self.clients.handler.client_left(pending)
         self.pending = []
 
+    def _unanswered_cause(self, error: Exception | None) -> UnansweredCause:
+        """Without an error and without the client's end, this process closed the connection."""
+        if error is None and not self.end_received:
+            return UnansweredCause.CLOSED_BY_PROXY
+        return UnansweredCause.CLIENT_LEFT
+
+    def report_unanswered(self, cause: UnansweredCause) -> None:
+        """Counts the requests that were begun here and will get no answer."""
+        for pending in self.pending:
+            if pending.started and pending.request is not None and pending.response is None:
+                self.clients.audit.never_answered(pending, self.accepted_at, cause)
+
     def is_idle(self) -> bool:
         """Whether no request is under way, and its end is not sent yet."""
         return not self.pending and not self.reader.mid_message and not self.end_sent
@@ -337,30 +347,3 @@
             self.last_activity = now
         elif idle_s > MAX_REQUEST_S:
             self.transport.abort()
-
-
-def abort_slow_readers(connections: Iterable[ClientConnection], max_bytes: int) -> int:
-    """Aborts connections whose clients do not read, until they hold `max_bytes` at most together.
-
-    Threat: many clients that do not read. Those that hold most go first.
-
-    Returns:
-        How many were aborted.
-    """
-    unread = sorted(
-        (
-            (connection.transport.get_write_buffer_size(), position, connection)
-            for position, connection in enumerate(connections)
-            if connection.writing_paused
-        ),
-        reverse=True,
-    )
-    surplus = sum(size for size, _, _ in unread) - max_bytes
-    aborted = 0
-    for size, _, connection in unread:
-        if surplus <= 0:
-            break
-        connection.transport.abort()
-        surplus -= size
-        aborted += 1
-    return aborted
--- a/umbermoor/gateway/server/controller.py
+++ b/umbermoor/gateway/server/controller.py
@@ -30,6 +30,7 @@
 from umbermoor.gateway.server.heartbeat_calls import HeartbeatCalls
 from umbermoor.gateway.server.instance_replication import InstanceReplication
 from umbermoor.gateway.server.membership_calls import MembershipCalls
+from umbermoor.gateway.server.metrics import Metric, serve_metrics
 from umbermoor.gateway.server.peer_messages import Message, PeerMessages
 from umbermoor.gateway.server.peer_transport import PeerConnection, PeerTransport
 from umbermoor.gateway.server.registry_snapshot import (
@@ -210,6 +211,24 @@
         """The process is started again, finds that its disk counts as lost, and is filled anew."""
         self.shutdown.request()
 
+    def metrics(self) -> list[Metric]:
+        """This controller's own figures."""
+        status, store = self.replica.status(), self.store
+        return [
+            Metric("connected", self.replica.connected),
+            Metric("leads", self.host.leads()),
+            Metric("epoch", status.epoch),
+            Metric("chain_members", len(status.chain)),
+            Metric("uncommitted_writes", status.uncommitted),
+            Metric("degraded", status.degraded),
+            Metric("calls_in_flight", self.host.calls_in_flight()),
+            Metric("instances", len(self.registry.records)),
+            Metric("waiting_pulls", len(self.publisher.pulls.waiting)),
+            Metric("store_bytes", store.used()),
+            Metric("store_full", store.full),
+            Metric("records_repaired_total", self.sweep.repaired),
+        ]
+
     # Clocks
 
     async def run(self) -> None:
@@ -266,6 +285,7 @@
             resources.callback(self.store.close)
             resources.callback(self.host.close)
             resources.enter_context(contextlib.closing(await self.transport.listen()))
+            await serve_metrics(self.settings.ip, self.metrics)
             gc.collect()
             gc.freeze()
             ticking = loop.create_task(self.run())
--- a/umbermoor/gateway/server/readiness.py
+++ b/umbermoor/gateway/server/http_endpoint.py
@@ -1,28 +1,44 @@
-"""The address at which the platform asks whether a proxy is ready: `GET /ready`."""
+"""Small addresses of a process for the platform and operators: readiness and metrics, by GET."""
 
 import asyncio
-from collections.abc import Callable
-from typing import cast
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, cast
 
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Fault, Reader, Request
 from umbermoor.http1.writer import write_response
 
-PATH = "/ready"
 BUFFER_BYTES = 8 << 20  # an eighth of it for what is partly read
 MAX_CONNECTIONS = 64
+NOT_FOUND = 404
 
 _buffers = Buffers(BUFFER_BYTES)
-_connections: set["ReadinessConnection"] = set()
+_connections: set["EndpointConnection"] = set()
 
 
-class ReadinessConnection(asyncio.Protocol):
-    """One connection of the platform."""
+class Page(NamedTuple):
+    """What a path answers."""
 
-    __slots__ = ("is_ready", "reader", "transport")
+    status: int
+    body: bytes = b""
 
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self.is_ready = is_ready
+
+Pages = Mapping[str, Callable[[], Page]]
+
+
+def readiness(is_ready: Callable[[], bool]) -> Callable[[], Page]:
+    """The page that says by its status whether clients may come."""
+    return lambda: Page(200 if is_ready() else 503)
+
+
+class EndpointConnection(asyncio.Protocol):
+    """One connection of the platform or of an operator."""
+
+    __slots__ = ("pages", "reader", "transport")
+
+    def __init__(self, pages: Pages) -> None:
+        """`pages`: by path; 404 for anything else."""
+        self.pages = pages
         self.transport: asyncio.Transport = None  # type: ignore[assignment]  # until it is made
         self.reader = Reader(_buffers)
 
@@ -34,24 +50,21 @@
         _connections.add(self)
 
     def data_received(self, data: bytes) -> None:
-        """Answers 200 or 503 to `GET /ready`, 404 to anything else."""
+        """Answers what is asked."""
         found: list[Request | Fault] = self.reader.feed(data)  # type: ignore[assignment]
         for message in found:
             if isinstance(message, Fault):
                 self.transport.write(write_response(message.status, keep_alive=False))
                 self.transport.close()
                 return
+            make_page = self.pages.get(message.target)
+            page = make_page() if make_page else Page(NOT_FOUND)
             self.transport.write(
-                write_response(self._status(message.target), keep_alive=message.keep_alive)
+                write_response(page.status, page.body, keep_alive=message.keep_alive)
             )
             if not message.keep_alive:
                 self.transport.close()
 
-    def _status(self, target: str) -> int:
-        if target != PATH:
-            return 404
-        return 200 if self.is_ready() else 503
-
     def connection_lost(self, error: Exception | None) -> None:
         """Ends."""
         _connections.discard(self)
--- a/umbermoor/gateway/server/proxy.py
+++ b/umbermoor/gateway/server/proxy.py
@@ -27,12 +27,14 @@
 from umbermoor.gateway.membership.failure_detector import FailureDetector
 from umbermoor.gateway.rollout.observer import RolloutObserver
 from umbermoor.gateway.server import datagrams
-from umbermoor.gateway.server.client_connection import ClientConnections, abort_slow_readers
+from umbermoor.gateway.server.client_connection import ClientConnections
 from umbermoor.gateway.server.connections import ConnectionPool
 from umbermoor.gateway.server.controller_link import ControllerLink
 from umbermoor.gateway.server.events import event, watch
-from umbermoor.gateway.server.readiness import ReadinessConnection
+from umbermoor.gateway.server.http_endpoint import EndpointConnection, readiness
+from umbermoor.gateway.server.metrics import Metric, labelled, serve_metrics
 from umbermoor.gateway.server.request_handler import RequestHandler
+from umbermoor.gateway.server.slow_readers import abort_slow_readers
 from umbermoor.gateway.units import SECOND
 from umbermoor.http1.buffers import Buffers
 
@@ -51,6 +53,7 @@
 END_RESERVE_S = 0.7  # of that, left for what comes after draining
 SLOW_READERS_MEMORY_SHIFT = 17  # MiB to bytes, and an eighth of them
 
+READY_PATH = "/ready"
 NO_FILE = (0, 0)
 
 
@@ -150,13 +153,16 @@
         await self._finish_requests(server)
         ticking.cancel()
         detection.close()
-        event("stopped", **self.requests.counts())
+        self.clients.report_unanswered()
+        event("stopped", **self.requests.counts(), **self.clients.audit.counts())
 
     async def _listen(self) -> asyncio.Server:
         """Listens for the platform and for clients; returns the clients' server."""
         loop = asyncio.get_running_loop()
         host, port = self.settings.listen["ready"]
-        await loop.create_server(lambda: ReadinessConnection(self._takes_clients), host, port)
+        pages = {READY_PATH: readiness(self._takes_clients)}
+        await loop.create_server(lambda: EndpointConnection(pages), host, port)
+        await serve_metrics(self.settings.ip, self.metrics)
         host, port = self.settings.listen["front"]
         return await loop.create_server(self.clients.accept, host, port, backlog=CLIENT_BACKLOG)
 
@@ -176,6 +182,23 @@
                 self._sweep(now)
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    def metrics(self) -> list[Metric]:
+        """This proxy's own figures."""
+        requests, clients = self.requests, self.clients
+        outcomes = {outcome.value: count for outcome, count in requests.outcome_counts.items()}
+        statuses = {str(status): count for status, count in requests.status_counts.items()}
+        return [
+            Metric("ready", self._takes_clients()),
+            Metric("draining", clients.draining),
+            Metric("client_connections", len(clients.connections)),
+            Metric("requests_active", len(requests.active)),
+            Metric("instances", len(self.instances.by_id)),
+            Metric("proxies", self.detector.member_count()),
+            *labelled("attempts_total", "outcome", outcomes),
+            *labelled("responses_total", "status", statuses),
+            *(Metric(f"requests_{name}", count) for name, count in clients.audit.counts().items()),
+        ]
+
     def _check_ready(self, now: int) -> None:
         known = bool(self.instances.by_id) or now - self.started_at > NO_INSTANCES_GRACE_US
         routes = self.requests.routes
@@ -217,6 +240,7 @@
         """Ends: not ready from now on, and nothing new behind the responses that are owed."""
         if not self.clients.draining:
             self.clients.draining = True
+            self.clients.audit.drain_began()
             event("draining", requests=len(self.requests.active))
             self._stop_requested.set()
 
--- a/umbermoor/gateway/server/replica_host.py
+++ b/umbermoor/gateway/server/replica_host.py
@@ -80,6 +80,10 @@
         """Whether this member orders writes, and is in touch with a majority."""
         return self.head() == self.replica.name and self.replica.connected
 
+    def calls_in_flight(self) -> int:
+        """Calls that wait for their result."""
+        return len(self._calls)
+
     def next_call_number(self) -> int:
         """A number for a call whose result nobody waits for."""
         self._last_call_number += 1
--- a/umbermoor/gateway/server/request_handler.py
+++ b/umbermoor/gateway/server/request_handler.py
@@ -37,9 +37,10 @@
 from umbermoor.gateway.balancing.retry_budget import RetryBudgets
 from umbermoor.gateway.rollout.observer import RolloutObserver
 from umbermoor.gateway.routing.route_table import Route, RouteTable
-from umbermoor.gateway.server.client_connection import ClientConnection, PendingRequest
+from umbermoor.gateway.server.client_connection import ClientConnection
 from umbermoor.gateway.server.connections import Attempt, ConnectionPool
 from umbermoor.gateway.server.http_messages import request_bytes
+from umbermoor.gateway.server.pending_request import PendingRequest
 from umbermoor.gateway.units import MILLISECOND, SECOND
 from umbermoor.http1.reader import Request, Response
 
--- a/umbermoor/gateway/simulation/traffic.py
+++ b/umbermoor/gateway/simulation/traffic.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from umbermoor.gateway.balancing.attempt_outcomes import AttemptOutcome
-from umbermoor.gateway.server.client_connection import PendingRequest
+from umbermoor.gateway.server.pending_request import PendingRequest
 from umbermoor.gateway.simulation.configurations import HOST
 from umbermoor.gateway.simulation.schedule import SERVICES
 from umbermoor.gateway.simulation.violations import Invariant
