--- a/tests/gateway/loopback_proxy.py
+++ b/tests/gateway/loopback_proxy.py
@@ -381,6 +381,7 @@
 
         self.runner.run(close())
         self.runner.close()
+        assert not self.proxy.invariants.total(), self.proxy.invariants.counts()
 
 
 class ServingLoopback(Loopback):
@@ -420,3 +421,4 @@
 
         self.runner.run(close())
         self.runner.close()
+        assert not self.proxy.invariants.total(), self.proxy.invariants.counts()
--- a/umbermoor/gateway/api/http_api.py
+++ b/umbermoor/gateway/api/http_api.py
@@ -75,7 +75,16 @@
 class HttpApi:
     """The ASGI application over the declared calls of some objects."""
 
-    def __init__(self, *handlers: object) -> None:
+    def __init__(
+        self, *handlers: object, on_unanswered: Callable[[str, str], None] | None = None
+    ) -> None:
+        """Finds the calls.
+
+        Args:
+            handlers: Objects with declared calls.
+            on_unanswered: Told method and path of a call that ends without an answer.
+        """
+        self._on_unanswered = on_unanswered
         self._calls: dict[tuple[str, str], Handler] = {}
         for holder in handlers:
             self._calls.update(declared_calls(holder))
@@ -108,11 +117,20 @@
         if len(body) > MAX_BODY_BYTES:
             response = error_response(413, f"body: over {MAX_BODY_BYTES} bytes")
         else:
-            response = await self._respond(scope["method"], scope["path"], body)
+            response = await self._respond_or_report(scope["method"], scope["path"], body)
         headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
         await send({"type": "http.response.start", "status": response.status, "headers": headers})
         await send({"type": "http.response.body", "body": response.body})
 
+    async def _respond_or_report(self, method: str, path: str, body: bytes) -> ApiResponse:
+        response = None
+        try:
+            response = await self._respond(method, path, body)
+            return response
+        finally:
+            if response is None and self._on_unanswered is not None:
+                self._on_unanswered(method, path)
+
     async def _respond(self, method: str, path: str, body: bytes) -> ApiResponse:
         found = self._find(method, path)
         if isinstance(found, ApiResponse):
--- a/umbermoor/gateway/balancing/request.py
+++ b/umbermoor/gateway/balancing/request.py
@@ -232,6 +232,10 @@
             self.state = TRANSITIONS[self.state][event]
         return instance
 
+    def bound_deadline(self, deadline: int) -> None:
+        """Has it end by `deadline` at the latest, in microseconds."""
+        self.deadline = min(self.deadline, deadline)
+
     def finish(self) -> None:
         """Its client was answered, or left."""
         self.state = TRANSITIONS[self.state][RequestEvent.FINISHED]
--- a/umbermoor/gateway/server/client_connection.py
+++ b/umbermoor/gateway/server/client_connection.py
@@ -11,7 +11,9 @@
 
 from umbermoor.gateway.balancing.attempt_outcomes import SINGLE_VALUE_HEADERS
 from umbermoor.gateway.routing.route_table import ClientLimits
+from umbermoor.gateway.server.drain import Drain
 from umbermoor.gateway.server.http_messages import response_bytes
+from umbermoor.gateway.server.invariants import Invariants
 from umbermoor.gateway.server.peer_transport import tune_socket
 from umbermoor.gateway.server.pending_request import PendingRequest, ResponseParts
 from umbermoor.gateway.server.request_audit import RequestAudit, UnansweredCause
@@ -23,6 +25,8 @@
     from umbermoor.gateway.server.request_handler import RequestHandler
 
 REQUEST_TIMEOUT = 408
+UNAVAILABLE = 503
+DRAINING_RETRY_AFTER = {"retry-after": "0.05"}  # on a new connection another proxy is met
 
 MAX_BODY_BYTES = 8 << 20  # of a request: it is held whole until it is sent to an instance
 MAX_PIPELINED_REQUESTS = 16  # of one connection that may wait for their responses
@@ -46,7 +50,7 @@
         handler: Takes the requests.
         audit: Counts the requests that are begun, and those that get no answer.
         connections: Those that are open.
-        draining: Whether the proxy ends: no connection is kept behind its last response.
+        drain: The end of the proxy: no connection is kept behind its last response.
         keep_alive_s: How long clients are told that a connection may stay idle.
         idle_timeout_s: How long it may.
         header_timeout_s: How long a head may take to come.
@@ -54,14 +58,18 @@
     """
 
     def __init__(
-        self, buffers: Buffers, clock: Callable[[], float], handler: "RequestHandler"
+        self,
+        buffers: Buffers,
+        clock: Callable[[], float],
+        handler: "RequestHandler",
+        invariants: Invariants,
     ) -> None:
         self.buffers = buffers
         self.clock = clock
         self.handler = handler
-        self.audit = RequestAudit(clock)
+        self.drain = Drain(clock)
+        self.audit = RequestAudit(clock, self.drain, invariants)
         self.connections: set[ClientConnection] = set()
-        self.draining = False
         self.keep_alive_s = 10
         self.idle_timeout_s = 15.0
         self.header_timeout_s = 3.0
@@ -79,10 +87,24 @@
         self.header_timeout_s = limits.header_timeout_us / SECOND
         self.max_body_bytes = min(MAX_BODY_BYTES, limits.body_bytes)
 
+    def refuse_more(self) -> None:
+        """Takes nothing more where a request is under way; idle connections may bring one."""
+        for connection in list(self.connections):
+            connection.refuse_more()
+
+    def reject_partial(self) -> None:
+        """Answers what is not whole at the end of the drain: it never will be begun."""
+        for connection in list(self.connections):
+            connection.reject_partial()
+
     def report_unanswered(self) -> None:
         """Counts the requests that get no answer because the process ends now."""
         for connection in self.connections:
-            connection.report_unanswered(UnansweredCause.PROCESS_ENDED)
+            connection.report_unanswered(
+                UnansweredCause.CLIENT_STALLED
+                if connection.writing_paused
+                else UnansweredCause.PROCESS_ENDED
+            )
 
     def sweep(self) -> None:
         """Closes what has been idle or slow for too long."""
@@ -173,10 +195,36 @@
                 self.closing = True
                 break
         self._start_requests()
+        if self.clients.drain.began:
+            self.refuse_more()
         self._write_responses()
         if len(self.pending) >= MAX_PIPELINED_REQUESTS:
             self._pause_reading()
 
+    def refuse_more(self) -> None:
+        """Takes nothing more, where a request is under way.
+
+        What was read behind it and not begun counts as not read, as the last response closes the
+        connection: its client sends it again elsewhere (RFC 9112, section 9.3.2).
+        """
+        if not self.pending:
+            return
+        if not self.closing:
+            self.closing = self.lingers = True
+        while len(self.pending) > 1 and not self.pending[-1].started:
+            self.pending.pop()
+
+    def reject_partial(self) -> None:
+        """Answers a request that is not whole; the connection closes."""
+        if self.request_began_at is not None and not self.pending and not self.end_sent:
+            self._reject(UNAVAILABLE, DRAINING_RETRY_AFTER)
+
+    def _reject(self, status: int, headers: dict[str, str]) -> None:
+        """Answers a request that is not whole, and reads no more of it."""
+        self.closing = self.lingers = True
+        self.transport.write(response_bytes(status, b"", headers, 0))
+        self._end()
+
     def _pause_reading(self) -> None:
         if not self.reading_paused and not self.transport.is_closing():
             self.reading_paused = True
@@ -220,6 +268,9 @@
 
     def _start(self, pending: PendingRequest, request: Request) -> None:
         pending.started = True
+        if not self.clients.drain.begins_requests():
+            self.respond(pending, UNAVAILABLE, b"", DRAINING_RETRY_AFTER)
+            return
         self.clients.audit.begun(pending)
         self.clients.handler.handle(self, pending, request)
 
@@ -260,7 +311,7 @@
         status, body, headers = cast(ResponseParts, pending.response)
         clients = self.clients
         keep_alive_s = clients.keep_alive_s
-        if not self.pending and (self.closing or clients.draining):
+        if not self.pending and (self.closing or clients.drain.began):
             keep_alive_s = 0
             if not self.closing:
                 self.lingers = self.closing = True
@@ -303,10 +354,12 @@
         self.pending = []
 
     def _unanswered_cause(self, error: Exception | None) -> UnansweredCause:
-        """Without an error and without the client's end, this process closed the connection."""
-        if error is None and not self.end_received:
-            return UnansweredCause.CLOSED_BY_PROXY
-        return UnansweredCause.CLIENT_LEFT
+        """Without an error of the network and the client's end, this process closed it."""
+        if self.writing_paused:
+            return UnansweredCause.CLIENT_STALLED
+        if isinstance(error, OSError) or self.end_received:
+            return UnansweredCause.CLIENT_LEFT
+        return UnansweredCause.CLOSED_BY_PROXY
 
     def report_unanswered(self, cause: UnansweredCause) -> None:
         """Counts the requests that were begun here and will get no answer."""
@@ -334,9 +387,7 @@
             taken_s = now - self.request_began_at
             stalled = taken_s > header_timeout_s + HEADER_GRACE_S and idle_s > STALLED_S
             if stalled or taken_s > MAX_REQUEST_S:
-                self.closing = self.lingers = True
-                self.transport.write(response_bytes(REQUEST_TIMEOUT, b"", {}, 0))
-                self._end()
+                self._reject(REQUEST_TIMEOUT, {})
         elif idle_s > idle_timeout_s:
             self.transport.close()
 
--- a/umbermoor/gateway/server/configuration_calls.py
+++ b/umbermoor/gateway/server/configuration_calls.py
@@ -18,6 +18,7 @@
 from umbermoor.gateway.effects import CallResult, Status
 from umbermoor.gateway.server import events
 from umbermoor.gateway.server.call_results import RETRY_LATER, outcome_pairs, write_response
+from umbermoor.gateway.server.invariants import Invariant, Invariants
 from umbermoor.gateway.server.replica_host import ReplicaHost
 
 DISK_FULL_BODY = (
@@ -41,8 +42,10 @@
 class ConfigurationCalls:
     """Handlers of the calls on the configuration."""
 
-    def __init__(self, host: ReplicaHost) -> None:
+    def __init__(self, host: ReplicaHost, invariants: Invariants) -> None:
         self.host = host
+        self._invariants = invariants
+        self._newest_acknowledged = 0  # revision, by this process
 
     @api_call("POST", "/Config.Replace")
     async def replace(self, request: ApiRequest) -> ApiResponse:
@@ -55,10 +58,13 @@
             events.event("validation_failed", kind="configuration", reason=str(error))
             return error_response(400, str(error))
         digest = await run_in_steps(configuration_digest_in_steps(body))
-        record = configuration_record(int(body["revision"], 16), request.body.decode(), digest)
+        revision = int(body["revision"], 16)
+        record = configuration_record(revision, request.body.decode(), digest)
         result = await self.host.call(
             lambda now, number: self.host.replica.put(now, number, CONFIG_KEY, record)
         )
+        if result.status is Status.OK:
+            self._newest_acknowledged = max(self._newest_acknowledged, revision)
         self._log(body["revision"], result)
         if result.status is Status.UNAVAILABLE and self.host.store.full:
             return ApiResponse(503, DISK_FULL_BODY, RETRY_LATER.headers)
@@ -77,10 +83,14 @@
     @api_call("GET", "/Config.Read")
     async def read(self, request: ApiRequest) -> ApiResponse:
         """The newest configuration, byte for byte as it was sent."""
+        acknowledged_before = self._newest_acknowledged
         result = await self.host.call(self.host.replica.read)
         if result.status is not Status.OK:
             return RETRY_LATER
         record: dict[str, Any] | None = result.value.get(CONFIG_KEY)
+        if acknowledged_before > (record["revision"] if record else 0):
+            self._invariants.violated(Invariant.READ_NEVER_OLDER, acknowledged=acknowledged_before)
+            return RETRY_LATER
         if record is None:
             return error_response(404, "no configuration yet")
         return ApiResponse(200, record["text"].encode(), JSON_HEADERS)
--- a/umbermoor/gateway/server/controller.py
+++ b/umbermoor/gateway/server/controller.py
@@ -29,8 +29,9 @@
 from umbermoor.gateway.server.configuration_calls import ConfigurationCalls
 from umbermoor.gateway.server.heartbeat_calls import HeartbeatCalls
 from umbermoor.gateway.server.instance_replication import InstanceReplication
+from umbermoor.gateway.server.invariants import Invariant, Invariants
 from umbermoor.gateway.server.membership_calls import MembershipCalls
-from umbermoor.gateway.server.metrics import Metric, serve_metrics
+from umbermoor.gateway.server.metrics import Metric, labelled, serve_metrics
 from umbermoor.gateway.server.peer_messages import Message, PeerMessages
 from umbermoor.gateway.server.peer_transport import PeerConnection, PeerTransport
 from umbermoor.gateway.server.registry_snapshot import (
@@ -53,7 +54,7 @@
 STORE_SHARE = 0.6  # of the disk space that the process may use
 DEFAULT_GRACE_S = 6.0
 RANDOM_BITS = 40  # of incarnations and call numbers
-HTTP_GRACEFUL_TIMEOUT_S = 1.0
+HTTP_GRACEFUL_TIMEOUT_S = 2.0  # a call's time-out, and what reading a large body takes before it
 HTTP_KEEP_ALIVE_TIMEOUT_S = 30.0
 HTTP_MAX_HEADER_BYTES = 64 << 10
 
@@ -71,6 +72,7 @@
         registry: The instances.
         rollouts: Decides on rollouts while this member orders writes.
         shutdown: Ends the process.
+        invariants: Counts what should have held and did not.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
             store: Where to keep records; None: in the settings' data directory.
         """
         self.settings, self.clock = settings, clock
+        self.invariants = Invariants()
         self.store = open_store(settings) if store is None else store
         stored = self.store.load()
         instances = decode_snapshot(stored.pop(INSTANCES_KEY, b"[]"))
@@ -149,6 +152,7 @@
             on_commit=self._committed,
             on_effects=self._publish_soon,
             on_store_lost=self._store_lost,
+            invariants=self.invariants,
         )
 
     def _make_peers(self) -> PeerMessages:
@@ -166,7 +170,7 @@
     def make_api(self) -> HttpApi:
         """The HTTP API, for instances and operators."""
         return HttpApi(
-            ConfigurationCalls(self.host),
+            ConfigurationCalls(self.host, self.invariants),
             HeartbeatCalls(
                 self.registry,
                 self.clock,
@@ -184,8 +188,12 @@
                 lambda: len(self.publisher.pulls.waiting),
                 self.clock,
             ),
+            on_unanswered=self._call_unanswered,
         )
 
+    def _call_unanswered(self, method: str, path: str) -> None:
+        self.invariants.violated(Invariant.CALL_ANSWERED, method=method, path=path)
+
     # What the parts tell each other
 
     def _receive(self, connection: PeerConnection, message: Message) -> None:
@@ -227,6 +235,7 @@
             Metric("store_bytes", store.used()),
             Metric("store_full", store.full),
             Metric("records_repaired_total", self.sweep.repaired),
+            *labelled("invariant_violations_total", "invariant", self.invariants.counts()),
         ]
 
     # Clocks
--- a/umbermoor/gateway/server/proxy.py
+++ b/umbermoor/gateway/server/proxy.py
@@ -30,8 +30,10 @@
 from umbermoor.gateway.server.client_connection import ClientConnections
 from umbermoor.gateway.server.connections import ConnectionPool
 from umbermoor.gateway.server.controller_link import ControllerLink
+from umbermoor.gateway.server.drain import CLOSING_S, DrainPhase
 from umbermoor.gateway.server.events import event, watch
 from umbermoor.gateway.server.http_endpoint import EndpointConnection, readiness
+from umbermoor.gateway.server.invariants import Invariants
 from umbermoor.gateway.server.metrics import Metric, labelled, serve_metrics
 from umbermoor.gateway.server.request_handler import RequestHandler
 from umbermoor.gateway.server.slow_readers import abort_slow_readers
@@ -43,14 +45,11 @@
 CLIENT_BACKLOG = 512  # connections that the kernel may hold until they are accepted
 # Ready without any instance known, where no update brought one in this time.
 NO_INSTANCES_GRACE_US = 3 * SECOND
-# After SIGTERM until idle connections are closed; the platform looks once a second.
-UNREADY_S = 2.6
 DRAIN_CHECK_S = 0.05
 DEFAULT_RETRY_RATIO = 0.2
 DEFAULT_RETRY_WINDOW_S = 10
 DEFAULT_RETRY_SLACK = 0.0
 DEFAULT_GRACE_S = 6.0  # from SIGTERM to the end of the process
-END_RESERVE_S = 0.7  # of that, left for what comes after draining
 SLOW_READERS_MEMORY_SHIFT = 17  # MiB to bytes, and an eighth of them
 
 READY_PATH = "/ready"
@@ -70,6 +69,7 @@
         pool: Connections to instances.
         controllers: The link to the controllers.
         detector: Finds out which other proxies run.
+        invariants: Counts what should have held and did not.
         is_ready: Whether clients may come, until it drains.
     """
 
@@ -104,7 +104,8 @@
         )
         self.pool = pool or ConnectionPool(self.buffers, self.clock, self.requests.may_send)
         self.requests.pool = self.pool
-        self.clients = ClientConnections(self.buffers, self.clock, self.requests)
+        self.invariants = Invariants()
+        self.clients = ClientConnections(self.buffers, self.clock, self.requests, self.invariants)
         self.started_at = self.now()
         self.controllers = ControllerLink(
             settings,
@@ -167,7 +168,7 @@
         return await loop.create_server(self.clients.accept, host, port, backlog=CLIENT_BACKLOG)
 
     def _takes_clients(self) -> bool:
-        return self.is_ready and not self.clients.draining
+        return self.is_ready and not self.clients.drain.began
 
     async def run_ticks(self) -> None:
         """Drives the parts by the clock, for ever."""
@@ -189,13 +190,14 @@
         statuses = {str(status): count for status, count in requests.status_counts.items()}
         return [
             Metric("ready", self._takes_clients()),
-            Metric("draining", clients.draining),
+            Metric("draining", clients.drain.began),
             Metric("client_connections", len(clients.connections)),
             Metric("requests_active", len(requests.active)),
             Metric("instances", len(self.instances.by_id)),
             Metric("proxies", self.detector.member_count()),
             *labelled("attempts_total", "outcome", outcomes),
             *labelled("responses_total", "status", statuses),
+            *labelled("invariant_violations_total", "invariant", self.invariants.counts()),
             *(Metric(f"requests_{name}", count) for name, count in clients.audit.counts().items()),
         ]
 
@@ -237,26 +239,31 @@
     # Draining
 
     def drain(self) -> None:
-        """Ends: not ready from now on, and nothing new behind the responses that are owed."""
-        if not self.clients.draining:
-            self.clients.draining = True
-            self.clients.audit.drain_began()
-            event("draining", requests=len(self.requests.active))
-            self._stop_requested.set()
+        """Ends: not ready from now on, and nothing new behind the requests that are under way."""
+        drain = self.clients.drain
+        if drain.began:
+            return
+        event("draining", requests=len(self.requests.active))
+        deadline = drain.begin(self.settings.margin("graceS", DEFAULT_GRACE_S))
+        self.clients.refuse_more()
+        self.requests.begin_drain(deadline)
+        self._stop_requested.set()
 
     async def _finish_requests(self, server: asyncio.Server) -> None:
         """Takes new connections until the platform has seen that it is not ready; then waits.
 
-        Returns when every connection is closed, or the time of grace is over.
+        Returns when every connection is closed, or the time for that is over.
         """
-        await asyncio.sleep(UNREADY_S)
+        drain, clients = self.clients.drain, self.clients
+        await asyncio.sleep(max(0.0, drain.lame_duck_s - drain.elapsed_s))
         server.close()
-        grace_s = self.settings.margin("graceS", DEFAULT_GRACE_S)
-        ends_at = self.clock() + grace_s - UNREADY_S - END_RESERVE_S
-        while self.clock() < ends_at:
-            self.clients.close_idle()
-            if not self.clients.connections:
-                return
+        while drain.phase is DrainPhase.FINISHING and clients.connections:
+            clients.close_idle()
+            await asyncio.sleep(DRAIN_CHECK_S)
+        clients.reject_partial()
+        while clients.connections and drain.elapsed_s < drain.finish_s + CLOSING_S:
+            clients.close_idle()
+            clients.sweep()
             await asyncio.sleep(DRAIN_CHECK_S)
 
 
--- a/umbermoor/gateway/server/replica_host.py
+++ b/umbermoor/gateway/server/replica_host.py
@@ -17,6 +17,7 @@
 from umbermoor.gateway.replication.store import Store
 from umbermoor.gateway.server import events
 from umbermoor.gateway.server.clocks import Clock
+from umbermoor.gateway.server.invariants import Invariant, Invariants
 from umbermoor.gateway.server.peer_transport import PeerTransport
 
 CALL_TIMEOUT_S = 0.9  # of a call to the replica set
@@ -44,6 +45,7 @@
         on_commit: Callable[[], None],
         on_effects: Callable[[], None],
         on_store_lost: Callable[[], None],
+        invariants: Invariants,
     ) -> None:
         """Takes over the replica.
 
@@ -56,6 +58,7 @@
             on_commit: Called when the committed version changed.
             on_effects: Called after effects were carried out.
             on_store_lost: Called once the store can no longer be written nor read.
+            invariants: Counts violations.
         """
         self.replica, self.store, self._transport, self._clock = replica, store, transport, clock
         self.disk = ThreadPoolExecutor(1)
@@ -67,6 +70,7 @@
         self._committed_version = (0, 0)
         self._on_commit, self._on_effects = on_commit, on_effects
         self._on_store_lost = on_store_lost
+        self._invariants = invariants
 
     def is_connected(self) -> bool:
         """Whether a majority of the members proved contact within the lease."""
@@ -127,6 +131,12 @@
             elif isinstance(effect, CallResult):
                 self._resolve(effect)
         if self.replica.version != self._committed_version:
+            if self.replica.version < self._committed_version:
+                self._invariants.violated(
+                    Invariant.STATE_NEVER_OLDER,
+                    before=self._committed_version,
+                    now=self.replica.version,
+                )
             self._committed_version = self.replica.version
             self._on_commit()
         if effects:
--- a/umbermoor/gateway/server/request_handler.py
+++ b/umbermoor/gateway/server/request_handler.py
@@ -109,6 +109,8 @@
         active: Requests that are worked at.
         outcome_counts: Attempts by how they ended.
         status_counts: Responses by status.
+        drain_deadline: By when each request must be answered because the process ends, in
+            microseconds; None as long as it does not end.
     """
 
     def __init__(
@@ -129,6 +131,7 @@
         self.active: set[ActiveRequest] = set()
         self.outcome_counts = dict.fromkeys(AttemptOutcome, 0)
         self.status_counts: dict[int, int] = {}
+        self.drain_deadline: int | None = None
 
     def now(self) -> int:
         """Microseconds of the steady clock."""
@@ -179,6 +182,8 @@
         lifecycle = RequestLifecycle(
             service, route.idempotent, route.max_attempts, now + time_left_us
         )
+        if self.drain_deadline is not None:
+            lifecycle.bound_deadline(self.drain_deadline)
         active = ActiveRequest(connection, pending, request, route, lifecycle)
         pending.active = active
         self.active.add(active)
@@ -186,6 +191,14 @@
         self.rollouts.request_received(now, service)
         self._advance(active, now)
 
+    def begin_drain(self, deadline: int) -> None:
+        """Has each request answered by `deadline`, in microseconds: the process ends after it."""
+        self.drain_deadline = deadline
+        now = self.now()
+        for active in list(self.active):
+            active.lifecycle.bound_deadline(deadline)
+            self._advance(active, now)
+
     # Attempts
 
     def _advance(self, active: ActiveRequest, now: int) -> None:
