--- a/tests/gateway/features/draining.feature
+++ b/tests/gateway/features/draining.feature
@@ -13,6 +13,12 @@
     And the rest of that request comes 4 seconds later
     Then a proxy that drains rejects it with 503, and no instance got it
 
+  Scenario: a client that waits before its body is rejected before it sends any
+    Given a proxy on loopback before 1 instances
+    When a proxy's client has connected, and the proxy has drained for 4 seconds
+    And that client sends the head of a request that waits for 100
+    Then a proxy that drains rejects it with 503, and no instance got it
+
   Scenario: the end of the grace leaves no request without an answer
     Given a draining proxy with 3.6 seconds of grace before instances that hang
     Then a proxy that ends answers 504 to what may have run, 503 to what was not whole, and closes
--- a/tests/gateway/features/steps/draining_steps.py
+++ b/tests/gateway/features/steps/draining_steps.py
@@ -72,6 +72,27 @@
     context.client.writer.write(b"dy")
 
 
+@when("a proxy's client has connected, and the proxy has drained for {seconds:g} seconds")
+def _(context, seconds):
+    loopback = context.loopback
+
+    async def scenario():
+        context.client = await loopback.client()
+        await loopback.until(lambda: loopback.proxy.clients.connections)
+        loopback.proxy.drain()
+
+    loopback.run(scenario())
+    loopback.clock_offset_s += seconds
+
+
+@when("that client sends the head of a request that waits for 100")
+def _(context):
+    context.client.writer.write(
+        b"POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: late\r\n"
+        b"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+    )
+
+
 @then("a proxy that drains rejects it with 503, and no instance got it")
 def _(context):
     loopback = context.loopback
--- a/umbermoor/gateway/server/client_connection.py
+++ b/umbermoor/gateway/server/client_connection.py
@@ -303,7 +303,10 @@
         if responses:
             self._start_requests()
         if not self.pending and self.reader.awaits_continue:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if self.clients.drain.begins_requests():
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            else:
+                self._reject(UNAVAILABLE, DRAINING_RETRY_AFTER)
 
     def _next_response(self) -> bytes:
         """Takes the first pending request off; its response, and whether it is the last."""
--- a/umbermoor/gateway/server/proxy.py
+++ b/umbermoor/gateway/server/proxy.py
@@ -175,7 +175,7 @@
         while True:
             now = self.now()
             self.controllers.tick(now)
-            if not self.is_ready:
+            if not self.is_ready and not self.clients.drain.began:
                 self._check_ready(now)
             clock = self.clock()
             if clock - self._swept_at >= SWEEP_INTERVAL_S:
