--- /dev/null
+++ b/tests/gateway/proxy_inputs.py
@@ -0,0 +1,61 @@
+"""What a proxy under test is told: its settings, two routes, and an update that names instances."""
+
+from collections.abc import Sequence
+from typing import Any
+
+SETTINGS = """
+nodeName = "front-1"
+role = "my-front"
+machineClass = "front"
+ip = "127.0.0.1"
+zone = "z"
+portRange = [{port},{port}]
+seeds = ["127.0.0.9:8649"]
+margins = [{margins}]
+[envelope]
+memoryMb = 64
+"""
+ROUTE_KINDS = ("safe", "unsafe")
+CONTROLLER_ADDRESS = "127.0.0.9"
+
+
+def settings_text(port: int = 7000, **margins: float) -> str:
+    """A settings file; retries are all but unbounded."""
+    named = {"retryRatio": 100, **margins}
+    return SETTINGS.format(
+        port=port, margins=", ".join(f'"{name}={value}"' for name, value in named.items())
+    )
+
+
+def configuration(
+    revision: int = 1, kinds: Sequence[str] = ROUTE_KINDS, timeout_s: float = 5
+) -> dict[str, Any]:
+    """A configuration with a route `/KIND/` of host h for each kind, all to service s."""
+    routes = {
+        kind: {
+            "host": "h",
+            "prefix": f"/{kind}/",
+            "kind": kind,
+            "horizonS": timeout_s,
+            "service": "s",
+            "tries": 2,
+        }
+        for kind in kinds
+    }
+    return {"revision": f"{revision:08x}", "services": {"s": {}}, "routes": routes}
+
+
+def instances_update(number: int, records: list[Any]) -> dict[str, Any]:
+    """A controller's update with these instance records, in wire form."""
+    return {
+        "kind": "news",
+        "life": 1,
+        "number": number,
+        "machines": records,
+        "register": [0, 0],
+        "keys": {},
+        "everyone": [CONTROLLER_ADDRESS],
+        "head": CONTROLLER_ADDRESS,
+        "firm": True,
+        "revision": 0,
+    }
