--- a/umbermoor/gateway/server/controller.py
+++ b/umbermoor/gateway/server/controller.py
@@ -54,7 +54,9 @@
 STORE_SHARE = 0.6  # of the disk space that the process may use
 DEFAULT_GRACE_S = 6.0
 RANDOM_BITS = 40  # of incarnations and call numbers
-HTTP_GRACEFUL_TIMEOUT_S = 2.0  # a call's time-out, and what reading a large body takes before it
+# At the end, for calls in flight: a call's time-out, and what reading a large body takes before it.
+MAX_HTTP_GRACEFUL_S = 2.0
+HTTP_GRACEFUL_SHARE = 1 / 3  # of the grace, where that is short
 HTTP_KEEP_ALIVE_TIMEOUT_S = 30.0
 HTTP_MAX_HEADER_BYTES = 64 << 10
 
@@ -302,7 +304,7 @@
             try:
                 await serve(
                     self.make_api(),
-                    _http_config(self.settings.listen["control"]),
+                    _http_config(self.settings),
                     shutdown_trigger=self.shutdown.requested.wait,
                 )
                 if ticking.done():  # only by an error, which ends the process with status 1
@@ -312,14 +314,15 @@
             events.event("stopped")
 
 
-def _http_config(address: tuple[str, int]) -> "Config":
+def _http_config(settings: NodeSettings) -> "Config":
     from hypercorn.config import Config
 
-    host, port = address
+    host, port = settings.listen["control"]
+    grace_s = settings.margin("graceS", DEFAULT_GRACE_S)
     config = Config()
     config.bind, config.accesslog, config.errorlog = [f"{host}:{port}"], None, None
     config.include_date_header = config.include_server_header = False
-    config.graceful_timeout = HTTP_GRACEFUL_TIMEOUT_S
+    config.graceful_timeout = min(MAX_HTTP_GRACEFUL_S, HTTP_GRACEFUL_SHARE * grace_s)
     config.keep_alive_timeout = HTTP_KEEP_ALIVE_TIMEOUT_S
     config.h11_max_incomplete_size = HTTP_MAX_HEADER_BYTES
     return config
--- a/umbermoor/gateway/server/metrics.py
+++ b/umbermoor/gateway/server/metrics.py
@@ -3,12 +3,11 @@
 They are read at `PORT` of the machine's address, path `/metrics`; `deploy/system.toml` names both.
 """
 
-import asyncio
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from umbermoor.gateway.server.events import event
-from umbermoor.gateway.server.http_endpoint import EndpointConnection, Page
+from umbermoor.gateway.server.http_endpoint import Endpoint, Page
 
 PORT = 9464
 PATH = "/metrics"
@@ -45,9 +44,8 @@
 
 async def serve_metrics(ip: str, collect: Callable[[], Iterable[Metric]]) -> None:
     """Serves the figures; where the port is taken, that is logged and the process goes without."""
-    pages = {PATH: lambda: Page(200, exposition(collect()))}
-    loop = asyncio.get_running_loop()
+    endpoint = Endpoint({PATH: lambda: Page(200, exposition(collect()))})
     try:
-        await loop.create_server(lambda: EndpointConnection(pages), ip, PORT)
+        await endpoint.listen(ip, PORT)
     except OSError as error:
         event("metrics_unavailable", port=PORT, reason=error)
--- a/umbermoor/gateway/server/proxy.py
+++ b/umbermoor/gateway/server/proxy.py
@@ -32,7 +32,7 @@
 from umbermoor.gateway.server.controller_link import ControllerLink
 from umbermoor.gateway.server.drain import CLOSING_S, DrainPhase
 from umbermoor.gateway.server.events import event, watch
-from umbermoor.gateway.server.http_endpoint import EndpointConnection, readiness
+from umbermoor.gateway.server.http_endpoint import Endpoint, readiness
 from umbermoor.gateway.server.invariants import Invariants
 from umbermoor.gateway.server.metrics import Metric, labelled, serve_metrics
 from umbermoor.gateway.server.request_handler import RequestHandler
@@ -161,8 +161,7 @@
         """Listens for the platform and for clients; returns the clients' server."""
         loop = asyncio.get_running_loop()
         host, port = self.settings.listen["ready"]
-        pages = {READY_PATH: readiness(self._takes_clients)}
-        await loop.create_server(lambda: EndpointConnection(pages), host, port)
+        await Endpoint({READY_PATH: readiness(self._takes_clients)}).listen(host, port)
         await serve_metrics(self.settings.ip, self.metrics)
         host, port = self.settings.listen["front"]
         return await loop.create_server(self.clients.accept, host, port, backlog=CLIENT_BACKLOG)
