--- a/umbermoor/gateway/server/client_connection.py
+++ b/umbermoor/gateway/server/client_connection.py
@@ -100,11 +100,7 @@
     def report_unanswered(self) -> None:
         """Counts the requests that get no answer because the process ends now."""
         for connection in self.connections:
-            connection.report_unanswered(
-                UnansweredCause.CLIENT_STALLED
-                if connection.writing_paused
-                else UnansweredCause.PROCESS_ENDED
-            )
+            connection.report_unanswered(UnansweredCause.PROCESS_ENDED)
 
     def sweep(self) -> None:
         """Closes what has been idle or slow for too long."""
@@ -358,14 +354,14 @@
 
     def _unanswered_cause(self, error: Exception | None) -> UnansweredCause:
         """Without an error of the network and the client's end, this process closed it."""
-        if self.writing_paused:
-            return UnansweredCause.CLIENT_STALLED
         if isinstance(error, OSError) or self.end_received:
             return UnansweredCause.CLIENT_LEFT
         return UnansweredCause.CLOSED_BY_PROXY
 
     def report_unanswered(self, cause: UnansweredCause) -> None:
         """Counts the requests that were begun here and will get no answer."""
+        if self.writing_paused:
+            cause = UnansweredCause.CLIENT_STALLED
         for pending in self.pending:
             if pending.started and pending.request is not None and pending.response is None:
                 self.clients.audit.never_answered(pending, self.accepted_at, cause)
