--- a/umbermoor/gateway/server/drain.py
+++ b/umbermoor/gateway/server/drain.py
@@ -90,4 +90,4 @@
 
     def begins_requests(self) -> bool:
         """Whether a request that is read now may be begun."""
-        return self.began_at is None or self.elapsed_s < self.lame_duck_s
+        return self.phase in (DrainPhase.SERVING, DrainPhase.LAME_DUCK)
