--- a/umbermoor/gateway/server/client_connection.py
+++ b/umbermoor/gateway/server/client_connection.py
@@ -11,6 +11,7 @@
 
 from umbermoor.gateway.balancing.attempt_outcomes import SINGLE_VALUE_HEADERS
 from umbermoor.gateway.routing.route_table import ClientLimits
+from umbermoor.gateway.server.departures import Departure
 from umbermoor.gateway.server.drain import Drain
 from umbermoor.gateway.server.http_messages import response_bytes
 from umbermoor.gateway.server.invariants import Invariants
@@ -340,18 +341,28 @@
     def eof_received(self) -> bool:
         """The client sends nothing more; it may still read its responses."""
         self.closing = self.end_received = True
+        self._note_departure(Departure.ENDED)
         return bool(self.pending)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Gives up the requests that are worked at."""
         self.clients.connections.discard(self)
         self.reader.drop()
-        self.report_unanswered(self._unanswered_cause(error))
+        cause = self._unanswered_cause(error)
+        self.report_unanswered(cause)
+        if cause is UnansweredCause.CLIENT_LEFT:
+            self._note_departure(Departure.RESET)
         for pending in self.pending:
             if pending.active is not None:
                 self.clients.handler.client_left(pending)
         self.pending = []
 
+    def _note_departure(self, how: Departure) -> None:
+        """Counts the requests that are worked at: nobody may be there to read their responses."""
+        now = self.clients.clock()
+        for pending in self.pending:
+            self.clients.handler.departures.left(pending, now, how)
+
     def _unanswered_cause(self, error: Exception | None) -> UnansweredCause:
         """Without an error of the network and the client's end, this process closed it."""
         if isinstance(error, OSError) or self.end_received:
--- a/umbermoor/gateway/server/pending_request.py
+++ b/umbermoor/gateway/server/pending_request.py
@@ -21,9 +21,19 @@
         first_byte_at: When its first bytes came, in seconds of the clock of its connection.
         read_at: When it was read whole.
         ahead: How many requests of its connection had no response then.
+        left_at: When its client left, in seconds of that clock; None as long as it waits.
     """
 
-    __slots__ = ("active", "ahead", "first_byte_at", "read_at", "request", "response", "started")
+    __slots__ = (
+        "active",
+        "ahead",
+        "first_byte_at",
+        "left_at",
+        "read_at",
+        "request",
+        "response",
+        "started",
+    )
 
     def __init__(
         self,
@@ -40,3 +50,4 @@
         self.first_byte_at = first_byte_at
         self.read_at = read_at
         self.ahead = ahead
+        self.left_at: float | None = None
--- a/umbermoor/gateway/server/proxy.py
+++ b/umbermoor/gateway/server/proxy.py
@@ -155,7 +155,7 @@
         ticking.cancel()
         detection.close()
         self.clients.report_unanswered()
-        event("stopped", **self.requests.counts(), **self.clients.audit.counts())
+        event("stopped", **self.requests.counts(), **self._audit_counts())
 
     async def _listen(self) -> asyncio.Server:
         """Listens for the platform and for clients; returns the clients' server."""
@@ -197,9 +197,13 @@
             *labelled("attempts_total", "outcome", outcomes),
             *labelled("responses_total", "status", statuses),
             *labelled("invariant_violations_total", "invariant", self.invariants.counts()),
-            *(Metric(f"requests_{name}", count) for name, count in clients.audit.counts().items()),
+            *(Metric(f"requests_{name}", count) for name, count in self._audit_counts().items()),
         ]
 
+    def _audit_counts(self) -> dict[str, float]:
+        """Requests that were begun late, that got no answer, and whose clients left."""
+        return self.clients.audit.counts() | self.requests.departures.counts()
+
     def _check_ready(self, now: int) -> None:
         known = bool(self.instances.by_id) or now - self.started_at > NO_INSTANCES_GRACE_US
         routes = self.requests.routes
@@ -219,6 +223,8 @@
         max_bytes = round(self.settings.memory_mb) << SLOW_READERS_MEMORY_SHIFT
         if aborted := abort_slow_readers(self.clients.connections, max_bytes):
             event("slow_readers_aborted", count=aborted)
+        if counts := self.requests.departures.news():
+            event("clients_left", **counts)
 
     def reload_settings(self) -> None:
         """Takes over margins and seeds of a settings file that changed.
--- a/umbermoor/gateway/server/request_handler.py
+++ b/umbermoor/gateway/server/request_handler.py
@@ -39,6 +39,7 @@
 from umbermoor.gateway.routing.route_table import Route, RouteTable
 from umbermoor.gateway.server.client_connection import ClientConnection
 from umbermoor.gateway.server.connections import Attempt, ConnectionPool
+from umbermoor.gateway.server.departures import DepartureCounter
 from umbermoor.gateway.server.http_messages import request_bytes
 from umbermoor.gateway.server.pending_request import PendingRequest
 from umbermoor.gateway.units import MILLISECOND, SECOND
@@ -109,6 +110,7 @@
         active: Requests that are worked at.
         outcome_counts: Attempts by how they ended.
         status_counts: Responses by status.
+        departures: What is done for requests whose clients have left.
         drain_deadline: By when each request must be answered because the process ends, in
             microseconds; None as long as it does not end.
     """
@@ -131,6 +133,7 @@
         self.active: set[ActiveRequest] = set()
         self.outcome_counts = dict.fromkeys(AttemptOutcome, 0)
         self.status_counts: dict[int, int] = {}
+        self.departures = DepartureCounter()
         self.drain_deadline: int | None = None
 
     def now(self) -> int:
@@ -269,6 +272,7 @@
             self._attempt_ended,
         )
         active.attempts.append(attempt)
+        self.departures.attempt_begun(active.pending)
         self.pool.send(instance, attempt, lifecycle.idempotent)
 
     def may_send(self, instance: Instance) -> bool:
@@ -285,6 +289,7 @@
         active.attempts.remove(attempt)
         self._learn(attempt, outcome, response, now)
         self.outcome_counts[outcome] += 1
+        self.departures.attempt_ended(active.pending, self.clock(), outcome)
         active.lifecycle.attempt_ended(attempt.number, outcome, response)
         if active.lifecycle.state is not RequestState.FINISHED:
             self._advance(active, now)
