--- a/tests/gateway/features/attempt_outcomes.feature
+++ b/tests/gateway/features/attempt_outcomes.feature
@@ -44,6 +44,8 @@
       | takes a cut answer for whole                        | MIXED   | safe   | unsafe       | 2    | 1        |
       | promises by hope                                    | REFUSED | unsafe | unsafe       | 2    | 1        |
       | skips the gate before a new connection's send       | DRAIN   | safe   | unsafe       | 2    | 1        |
+      | takes a client's end for a pause                    | GONE    | safe   | unsafe       | 2    | 1        |
+      | lets the runs of a client that left go on           | GONE    | safe   | unsafe       | 2    | 1        |
 
   Scenario: interleavings drawn by chance, their bytes cut anywhere
     Then the proxy keeps every rule in 400 interleavings that hypothesis draws, with bytes cut anywhere
--- a/tests/gateway/features/balancing.feature
+++ b/tests/gateway/features/balancing.feature
@@ -36,3 +36,6 @@
     And a proxy takes the load "3,1" for nothing
     And a proxy takes the load "-3,1,8" for nothing
     And a proxy takes the load "999999999999,1,8" for nothing
+
+  Scenario: a proxy learns from a wait that it gave up that the response would have taken longer
+    Then an attempt that is abandoned late makes its machine slower for the choice, and one that is abandoned early changes nothing
--- a/tests/gateway/features/rollout.feature
+++ b/tests/gateway/features/rollout.feature
@@ -52,6 +52,13 @@
     And proxy F sees 12 attempts at v2 fail
     Then proxy F sends v1 every request, and may not send v2 any
 
+  Scenario: An attempt whose client left counts as late where it was, and else not at all
+    Given proxy F that lists 10 instances of v1
+    And proxy F also lists 3 instances of v2
+    When proxy F learns of an order for v2 at stage 1
+    And 4 attempts of proxy F at v2 are abandoned before the target time, and 6 after it
+    Then proxy F has counted 6 late outcomes of the trial, none failed, and has nothing in flight
+
   Scenario: Orders that clash
     Given a rollout coordinator without orders
     Then the rollout coordinator answers CONFLICT to an order for v3 after one for v2
--- a/tests/gateway/features/steps/attempt_outcomes_steps.py
+++ b/tests/gateway/features/steps/attempt_outcomes_steps.py
@@ -23,6 +23,7 @@
     classify,
 )
 from umbermoor.gateway.server import connections
+from umbermoor.gateway.server.client_connection import ClientConnection
 from umbermoor.gateway.server.request_handler import RequestHandler
 
 PAGE = Path(__file__).parents[4] / "docs" / "attempt-outcomes.md"
@@ -151,6 +152,11 @@
     real(pool, instance, attempt, idempotent)
 
 
+def reads_no_end(connection):
+    connection.closing = connection.end_received = True
+    return bool(connection.pending)
+
+
 MUTANTS = {
     "sends again after a reset of a half written request": lambda: changed(
         [AttemptStage.WRITING], ConnectionEvent.CLOSED, AttemptOutcome.CONNECT_FAILED
@@ -179,6 +185,15 @@
         lambda real, status, headers, id, alone, framed: real(status, headers, id, alone)
     ),
     "promises by hope": lambda: patch.object(request, "may_reject", lambda may_have_executed: True),
+    "takes a client's end for a pause": lambda: patch.object(
+        ClientConnection, "eof_received", reads_no_end
+    ),
+    "lets the runs of a client that left go on": lambda: changed(
+        [AttemptStage.WRITING, AttemptStage.WRITTEN, AttemptStage.READING],
+        ConnectionEvent.ABANDONED,
+        None,
+        ConnectionAction.CONTINUE,
+    ),
     "skips the gate before a new connection's send": lambda: patch.object(
         RequestHandler, "may_send", lambda *_: True
     ),
--- a/tests/gateway/features/steps/balancing_steps.py
+++ b/tests/gateway/features/steps/balancing_steps.py
@@ -330,3 +330,24 @@
     instance = instances.by_id["m"]
     instance.load_reported(0, text)
     assert instance.load.at(0) == (0.0 if load == "nothing" else float(load)), instance.load.at(0)
+
+
+@then(
+    "an attempt that is abandoned late makes its machine slower for the choice, and one that is abandoned early changes nothing"
+)
+def _(context):
+    instances = Instances()
+    instances.update(0, [machine("slow"), machine("other")])
+    slow, other = instances.by_id["slow"], instances.by_id["other"]
+    instances.abandoned(slow, 900 * MS)  # nothing to compare with yet
+    instances.responded(0, other, 100 * MS)
+    slow.ejection.failure(0, False)
+    before = slow.relative_service_time, slow.last_response_at
+    instances.abandoned(slow, 90 * MS)
+    assert (slow.relative_service_time, slow.last_response_at) == before
+    for _ in range(5):
+        instances.abandoned(slow, 900 * MS)
+    assert before[0] < slow.relative_service_time <= 4 and slow.last_response_at == before[1]
+    assert slow.ejection.consecutive_failures == 1  # it neither failed nor answered
+    assert instances.service_times["s"].mean_us == 100 * MS
+    assert instances.choose(0, "s", "v1", (), (), lambda: 0.5, 1e18) is other
--- a/tests/gateway/features/steps/rollout_steps.py
+++ b/tests/gateway/features/steps/rollout_steps.py
@@ -118,6 +118,27 @@
         context.proxy.attempt_ended(context.now, SERVICE, "v2", "v2-0", 0, False, True, False)
 
 
+@when(
+    "{early:d} attempts of proxy F at v2 are abandoned before the target time, and {late:d} after it"
+)
+def _(context: Any, early: int, late: int) -> None:
+    for in_time, number in ((True, early), (False, late)):
+        for _ in range(number):
+            context.proxy.attempt_sent(context.now, SERVICE, "v2")
+            context.proxy.attempt_abandoned(
+                context.now, SERVICE, "v2", "v2-0", 0, in_time, retry=False
+            )
+
+
+@then(
+    "proxy F has counted {late:d} late outcomes of the trial, none failed, and has nothing in flight"
+)
+def _(context: Any, late: int) -> None:
+    state = context.proxy.services[SERVICE]
+    assert (state.trial.total, state.trial.good, state.trial.failed) == (late, 0, 0), state.trial
+    assert not state.failures and not state.in_flight
+
+
 @then("proxy F sends {one} every request, and may not send {other} any")
 def _(context: Any, one: str, other: str) -> None:
     assert set(chosen_versions(context)) == {one}
--- a/tests/gateway/request_interleavings.py
+++ b/tests/gateway/request_interleavings.py
@@ -736,8 +736,19 @@
         require(not self.loop.failed, "an error", self.loop.failed)
         for client in self.clients:
             client.read()
+            if client.kind == "safe":
+                self.check_departure(client)
         self.pending = [one for one in self.pending if not one.given_up]
 
+    def check_departure(self, client: Client) -> None:
+        """Nobody works for a client that has left."""
+        if not (client.transport.closing or client.line.end_received):
+            return
+        unanswered = client.ids[client.answered : client.sent]
+        for wire in self.wires():
+            attempt = wire.transport.protocol.attempt
+            require(attempt is None or attempt.id not in unanswered, "GONE: still at work", client)
+
     def check_end(self) -> None:
         proxy = self.proxy
         for client in self.clients:
--- a/umbermoor/gateway/balancing/attempt_outcomes.py
+++ b/umbermoor/gateway/balancing/attempt_outcomes.py
@@ -37,6 +37,7 @@
     MISDIRECTED = "misdirected"  # another instance has the address: not executed
     CONNECT_FAILED = "connect_failed"  # no connection: never sent
     CANCELLED = "cancelled"  # taken back by this proxy before a byte was sent
+    ABANDONED = "abandoned"  # broken off, as its client has left: may have executed
     TRUNCATED = "truncated"  # no complete response: may have executed
     PROTOCOL_ERROR = "protocol_error"  # no response of that instance: may have executed
 
@@ -73,6 +74,7 @@
     NOT_ALLOWED = "not_allowed"
     # The client left, another attempt was answered, or the client must be answered now.
     CANCELLED = "cancelled"
+    ABANDONED = "abandoned"  # the client left, and the request may be executed more than once
     DEADLINE_EXCEEDED = "deadline_exceeded"  # the time of its request is over
     RESPONSE = "response"  # complete, with the attempt's id
     REJECTION = "rejection"  # complete, its own, with X-Not-Executed
@@ -107,6 +109,7 @@
 
 _SENT = {
     ConnectionEvent.CANCELLED: Verdict(None, ConnectionAction.CONTINUE),
+    ConnectionEvent.ABANDONED: Verdict(AttemptOutcome.ABANDONED, ConnectionAction.ABORT),
     ConnectionEvent.DEADLINE_EXCEEDED: Verdict(AttemptOutcome.TRUNCATED, ConnectionAction.ABORT),
     ConnectionEvent.RESPONSE: Verdict(AttemptOutcome.COMPLETE, ConnectionAction.KEEP),
     ConnectionEvent.REJECTION: Verdict(AttemptOutcome.REJECTED, ConnectionAction.KEEP),
@@ -133,6 +136,7 @@
         ),
         ConnectionEvent.NOT_ALLOWED: Verdict(AttemptOutcome.CANCELLED, ConnectionAction.CLOSE),
         ConnectionEvent.CANCELLED: Verdict(AttemptOutcome.CANCELLED, ConnectionAction.CLOSE),
+        ConnectionEvent.ABANDONED: Verdict(AttemptOutcome.CANCELLED, ConnectionAction.CLOSE),
         ConnectionEvent.DEADLINE_EXCEEDED: Verdict(
             AttemptOutcome.CANCELLED, ConnectionAction.CLOSE
         ),
--- a/umbermoor/gateway/balancing/instance.py
+++ b/umbermoor/gateway/balancing/instance.py
@@ -198,6 +198,15 @@
         self.relative_service_time = min(RELATIVE_TIME_MAX, max(RELATIVE_TIME_MIN, relative))
         self.last_response_at = now
 
+    def abandoned(self, waited_us: int, mean_us: float) -> None:
+        """An attempt was broken off after `waited_us`: its response would have taken longer.
+
+        A wait above the estimate raises it; a shorter one says nothing (a censored observation).
+        """
+        ratio = min(RELATIVE_TIME_MAX, waited_us / mean_us)
+        if ratio > self.relative_service_time:
+            self.relative_service_time += (ratio - self.relative_service_time) * INSTANCE_WEIGHT
+
     def rejected(self, now: int) -> None:
         """It rejected a request: it has all that it can carry."""
         self.last_response_at = now
--- a/umbermoor/gateway/balancing/instances.py
+++ b/umbermoor/gateway/balancing/instances.py
@@ -157,3 +157,9 @@
             instance.responded(now, duration_us, estimate.mean_us)
             estimate.add(duration_us)
         instance.ejection.success()
+
+    def abandoned(self, instance: Instance, waited_us: int) -> None:
+        """An attempt at an instance was broken off after `waited_us` without a response."""
+        estimate = self.service_times.get(instance.entry.service)
+        if estimate is not None:
+            instance.abandoned(waited_us, estimate.mean_us)
--- a/umbermoor/gateway/balancing/request.py
+++ b/umbermoor/gateway/balancing/request.py
@@ -232,6 +232,10 @@
             self.state = TRANSITIONS[self.state][event]
         return instance
 
+    def stop_attempts(self) -> None:
+        """No instance is asked any more; what is in flight may still bring a response."""
+        self.max_attempts = 0
+
     def bound_deadline(self, deadline: int) -> None:
         """Has it end by `deadline` at the latest, in microseconds."""
         self.deadline = min(self.deadline, deadline)
--- a/umbermoor/gateway/rollout/observer.py
+++ b/umbermoor/gateway/rollout/observer.py
@@ -148,6 +148,31 @@
         state = self._service(service)
         state.attempt_ended(now, version, instance, listed_at, in_time, failed, retry)
 
+    def attempt_abandoned(
+        self,
+        now: int,
+        service: str,
+        version: str,
+        instance: str,
+        listed_at: int,
+        in_time: bool,
+        retry: bool,
+    ) -> None:
+        """An attempt that was sent was broken off, as its client left: it has no outcome.
+
+        Args:
+            now: microseconds.
+            service: the service's name.
+            version: the instance's version.
+            instance: its id.
+            listed_at: when this proxy first had it listed.
+            in_time: whether it could still have met the route's latency target; else it is known
+                to have missed it, and counts so.
+            retry: whether it does not count.
+        """
+        state = self._service(service)
+        state.attempt_abandoned(now, version, instance, listed_at, in_time, retry)
+
     # Reports
 
     def reports(self, now: int) -> list[ReportDocument]:
--- a/umbermoor/gateway/rollout/service_rollout.py
+++ b/umbermoor/gateway/rollout/service_rollout.py
@@ -298,16 +298,33 @@
         retry: bool,
     ) -> None:
         """An attempt that was sent has ended, see `RolloutObserver.attempt_ended`."""
+        self._no_longer_in_flight(version)
+        self._note_failure(now, instance, failed)
+        if not retry:
+            self._count_outcome(now, version, instance, listed_at, in_time and not failed, failed)
+
+    def attempt_abandoned(
+        self, now: int, version: str, instance: str, listed_at: int, in_time: bool, retry: bool
+    ) -> None:
+        """An attempt was broken off, see `RolloutObserver.attempt_abandoned`."""
+        self._no_longer_in_flight(version)
+        if not (in_time or retry):
+            self._count_outcome(now, version, instance, listed_at, good=False, failed=False)
+
+    def _no_longer_in_flight(self, version: str) -> None:
         self.in_flight[version] -= 1
         if self.in_flight[version] <= 0:
             del self.in_flight[version]
-        self._note_failure(now, instance, failed)
+
+    def _count_outcome(
+        self, now: int, version: str, instance: str, listed_at: int, good: bool, failed: bool
+    ) -> None:
+        """Scores an attempt by which its version is judged."""
         record = self.record
         if record is None or record.state != RolloutState.RUNNING:
             return
-        if retry or now - listed_at < WARM_UP_TIME:
+        if now - listed_at < WARM_UP_TIME:
             return
-        good = in_time and not failed
         if version == record.target:
             self.trial.add(good, failed)
             self._count_trial_outcome(now, record, instance, good)
--- a/umbermoor/gateway/server/client_connection.py
+++ b/umbermoor/gateway/server/client_connection.py
@@ -339,9 +339,17 @@
             self.transport.abort()
 
     def eof_received(self) -> bool:
-        """The client sends nothing more; it may still read its responses."""
+        """The client sends nothing more, and has left: a closed connection looks just like this.
+
+        What it has under way ends, but for a request that may not be repeated and was sent.
+        """
         self.closing = self.end_received = True
         self._note_departure(Departure.ENDED)
+        for pending in list(self.pending):
+            self.clients.handler.client_ended(pending)
+        given_up = [pending for pending in self.pending if pending.active is None]
+        self._report_unanswered(given_up, UnansweredCause.CLIENT_LEFT)
+        self.pending = [pending for pending in self.pending if pending.active is not None]
         return bool(self.pending)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -373,7 +381,10 @@
         """Counts the requests that were begun here and will get no answer."""
         if self.writing_paused:
             cause = UnansweredCause.CLIENT_STALLED
-        for pending in self.pending:
+        self._report_unanswered(self.pending, cause)
+
+    def _report_unanswered(self, given_up: list[PendingRequest], cause: UnansweredCause) -> None:
+        for pending in given_up:
             if pending.started and pending.request is not None and pending.response is None:
                 self.clients.audit.never_answered(pending, self.accepted_at, cause)
 
--- a/umbermoor/gateway/server/departures.py
+++ b/umbermoor/gateway/server/departures.py
@@ -1,14 +1,18 @@
 """Counts requests whose clients left before their response, and what is still done for them.
 
 A client has left when its side of the connection ended (FIN) or was reset while a request of it was
-under way. Work on that request serves nobody from then on. This counts, and changes nothing.
+under way. Work on that request serves nobody from then on: no attempt may begin, and one that may
+be repeated ends. This counts and watches, and changes nothing.
 """
 
 from enum import Enum
 
 from umbermoor.gateway.balancing.attempt_outcomes import AttemptOutcome
+from umbermoor.gateway.server.invariants import Invariant, Invariants
 from umbermoor.gateway.server.pending_request import PendingRequest
 
+MAX_ENDING_S = 0.5  # from a client's leaving to the end of an attempt that may be repeated
+
 
 class Departure(Enum):
     """How a client left."""
@@ -28,7 +32,9 @@
         longest_s: The longest time from a client's leaving to the end of an attempt.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, invariants: Invariants) -> None:
+        """`invariants`: counts violations."""
+        self._invariants = invariants
         self.requests = dict.fromkeys(Departure, 0)
         self.in_flight = 0
         self.begun_later = 0
@@ -48,12 +54,21 @@
         """An attempt of a request begins."""
         if pending.left_at is not None:
             self.begun_later += 1
+            self._invariants.violated(Invariant.NOTHING_BEGUN_FOR_DEPARTED)
 
-    def attempt_ended(self, pending: PendingRequest, now_s: float, outcome: AttemptOutcome) -> None:
-        """An attempt of a request has ended."""
-        if pending.left_at is not None:
-            self.ended_later[outcome] += 1
-            self.longest_s = max(self.longest_s, now_s - pending.left_at)
+    def attempt_ended(
+        self, pending: PendingRequest, idempotent: bool, now_s: float, outcome: AttemptOutcome
+    ) -> None:
+        """An attempt of a request has ended; `idempotent`: whether the request may be repeated."""
+        if pending.left_at is None:
+            return
+        self.ended_later[outcome] += 1
+        taken_s = now_s - pending.left_at
+        self.longest_s = max(self.longest_s, taken_s)
+        if idempotent and taken_s > MAX_ENDING_S:
+            self._invariants.violated(
+                Invariant.DEPARTED_WORK_ENDED, outcome=outcome.value, taken_s=taken_s
+            )
 
     def counts(self) -> dict[str, float]:
         """What it counted, for the log and the metrics."""
--- a/umbermoor/gateway/server/invariants.py
+++ b/umbermoor/gateway/server/invariants.py
@@ -16,6 +16,9 @@
     # Proxy: what is begun ends before the process does.
     REQUEST_ANSWERED = "request_answered"  # if it was begun, and its client waits
     REQUEST_BEGUN_IN_TIME = "request_begun_in_time"  # none is begun after the lame-duck phase
+    # Proxy: work ends with whom it is for.
+    NOTHING_BEGUN_FOR_DEPARTED = "nothing_begun_for_departed"  # for a client that has left
+    DEPARTED_WORK_ENDED = "departed_work_ended"  # what may be repeated ends with its client
     # Controller: the same of calls, and what was acknowledged stays.
     CALL_ANSWERED = "call_answered"
     STATE_NEVER_OLDER = "state_never_older"  # the committed version only rises
--- a/umbermoor/gateway/server/proxy.py
+++ b/umbermoor/gateway/server/proxy.py
@@ -99,12 +99,17 @@
         self.instances = Instances(settings.zone)
         self.rollouts = RolloutObserver()
         self.retry_budgets = RetryBudgets(*_retry_bounds(settings))
+        self.invariants = Invariants()
         self.requests = RequestHandler(
-            self.instances, self.rollouts, self.retry_budgets, self.clock, chance
+            self.instances,
+            self.rollouts,
+            self.retry_budgets,
+            self.invariants,
+            self.clock,
+            chance,
         )
         self.pool = pool or ConnectionPool(self.buffers, self.clock, self.requests.may_send)
         self.requests.pool = self.pool
-        self.invariants = Invariants()
         self.clients = ClientConnections(self.buffers, self.clock, self.requests, self.invariants)
         self.started_at = self.now()
         self.controllers = ControllerLink(
--- a/umbermoor/gateway/server/request_handler.py
+++ b/umbermoor/gateway/server/request_handler.py
@@ -41,6 +41,7 @@
 from umbermoor.gateway.server.connections import Attempt, ConnectionPool
 from umbermoor.gateway.server.departures import DepartureCounter
 from umbermoor.gateway.server.http_messages import request_bytes
+from umbermoor.gateway.server.invariants import Invariants
 from umbermoor.gateway.server.pending_request import PendingRequest
 from umbermoor.gateway.units import MILLISECOND, SECOND
 from umbermoor.http1.reader import Request, Response
@@ -120,6 +121,7 @@
         instances: Instances,
         rollouts: RolloutObserver,
         retry_budgets: RetryBudgets,
+        invariants: Invariants,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
@@ -133,7 +135,7 @@
         self.active: set[ActiveRequest] = set()
         self.outcome_counts = dict.fromkeys(AttemptOutcome, 0)
         self.status_counts: dict[int, int] = {}
-        self.departures = DepartureCounter()
+        self.departures = DepartureCounter(invariants)
         self.drain_deadline: int | None = None
 
     def now(self) -> int:
@@ -289,7 +291,8 @@
         active.attempts.remove(attempt)
         self._learn(attempt, outcome, response, now)
         self.outcome_counts[outcome] += 1
-        self.departures.attempt_ended(active.pending, self.clock(), outcome)
+        idempotent = active.lifecycle.idempotent
+        self.departures.attempt_ended(active.pending, idempotent, self.clock(), outcome)
         active.lifecycle.attempt_ended(attempt.number, outcome, response)
         if active.lifecycle.state is not RequestState.FINISHED:
             self._advance(active, now)
@@ -301,6 +304,9 @@
         instance = attempt.instance
         duration_us = now - attempt.sent_at
         instance.attempt_ended()
+        if outcome is AttemptOutcome.ABANDONED:
+            self._learn_abandoned(attempt, duration_us, now)
+            return
         status = 0
         if response is not None:
             status = response.status
@@ -329,6 +335,20 @@
             attempt.number > 1 or outcome in NOT_EXECUTED,
         )
 
+    def _learn_abandoned(self, attempt: Attempt, waited_us: int, now: int) -> None:
+        """Takes over what the wait for a response that was given up tells: that it was longer."""
+        instance = attempt.instance
+        self.instances.abandoned(instance, waited_us)
+        self.rollouts.attempt_abandoned(
+            now,
+            instance.entry.service,
+            instance.entry.revision,
+            instance.id,
+            instance.listed_at,
+            waited_us <= attempt.request.route.latency_target_us,
+            attempt.number > 1,
+        )
+
     def _cancel_unsent(self, active: ActiveRequest) -> None:
         """Ends the attempts of which nothing was written: they are proved not to be executed."""
         for attempt in list(active.attempts):
@@ -370,9 +390,33 @@
         active.connection.respond(active.pending, status, body, headers)
 
     def client_left(self, pending: PendingRequest) -> None:
-        """Its client's connection is gone: the request is not sent anywhere else."""
-        if pending.active is not None:
-            self._end(pending.active)
+        """Its client has left: nothing more is sent for it, and what may be repeated ends.
+
+        An attempt that may not be repeated goes on where it was sent: broken off, it would be left
+        half done, and nobody could tell.
+        """
+        active = pending.active
+        if active is None:
+            return
+        self._end(active)
+        if active.lifecycle.idempotent:
+            for attempt in list(active.attempts):
+                attempt.handle(ConnectionEvent.ABANDONED)
+
+    def client_ended(self, pending: PendingRequest) -> None:
+        """Its client sends nothing more: it has left, as far as anything tells.
+
+        Only a response to what may not be repeated and has been sent is still waited for, as a
+        client that merely ended its sending could not ask for it again.
+        """
+        active = pending.active
+        if active is None:
+            return
+        if active.lifecycle.idempotent:
+            self.client_left(pending)
+            return
+        active.lifecycle.stop_attempts()
+        self._cancel_unsent(active)
 
     def _end(self, active: ActiveRequest) -> None:
         """Ends a request.
