--- a/tests/gateway/features/proxy.feature
+++ b/tests/gateway/features/proxy.feature
@@ -90,6 +90,11 @@
     Then a proxy's client got its own answer to each, and each ran once
     And a proxy's instances had one request at a time, in the client's order
 
+  Scenario: the time of a request that waits behind another runs from its arrival
+    Given a proxy on loopback before 2 instances
+    When a proxy's client sends two unsafe requests at once, with 800 ms for each, and instances hang
+    Then a proxy's client got both final answers within 1300 ms, and no instance was told of more time than was left
+
   Scenario: a proxy works one by one at requests that look safe on a route that is not
     Given a proxy on loopback before 2 instances
     Then a proxy's client that sends 5 GETs to an unsafe route behind one another has them worked at one by one
--- a/tests/gateway/features/steps/proxy_steps.py
+++ b/tests/gateway/features/steps/proxy_steps.py
@@ -344,3 +344,32 @@
         assert str(error) == "an invariant"
     else:
         raise AssertionError("it went on")
+
+
+@when(
+    "a proxy's client sends two unsafe requests at once, with {time_ms:d} ms for each, and instances hang"
+)
+def _(context, time_ms):
+    loopback = context.loopback
+    loopback.instances.behaviors = ["hangs", "hangs"]
+
+    async def scenario():
+        client = await loopback.client()
+        began = loopback.clock()
+        for id in ("first", "second"):
+            client.send(id, "unsafe", b"", "x", None, f"X-Time-Remaining: {time_ms}")
+        context.found = [await client.answer() for _ in range(2)]
+        context.taken_s = loopback.clock() - began
+        context.time_ms = time_ms
+
+    loopback.run(scenario())
+
+
+@then(
+    "a proxy's client got both final answers within {bound_ms:d} ms, and no instance was told of more time than was left"
+)
+def _(context, bound_ms):
+    assert context.taken_s <= bound_ms / 1000, context.taken_s
+    assert [found.status for found in context.found] == [504, 503], context.found
+    told = [int(one.headers["x-time-remaining"]) for _, _, one in context.loopback.instances.came]
+    assert len(told) == 1 and told[0] <= context.time_ms, told
