--- a/umbermoor/gateway/server/request_handler.py
+++ b/umbermoor/gateway/server/request_handler.py
@@ -178,15 +178,9 @@
         route: Route,
     ) -> None:
         now = self.now()
-        time_left_us = route.timeout_us
-        client_waits = request.headers.get("x-time-remaining", "")  # in milliseconds
-        if client_waits.isdecimal() and len(client_waits) <= MAX_TIME_REMAINING_DIGITS:
-            client_waits_us = int(client_waits) * MILLISECOND - ROUND_TRIP_US
-            time_left_us = min(time_left_us, client_waits_us)
         service = route.service_for(self.random())
-        lifecycle = RequestLifecycle(
-            service, route.idempotent, route.max_attempts, now + time_left_us
-        )
+        deadline = _deadline(pending, request, route)
+        lifecycle = RequestLifecycle(service, route.idempotent, route.max_attempts, deadline)
         if self.drain_deadline is not None:
             lifecycle.bound_deadline(self.drain_deadline)
         active = ActiveRequest(connection, pending, request, route, lifecycle)
@@ -443,3 +437,18 @@
         outcomes = {outcome.value: count for outcome, count in self.outcome_counts.items() if count}
         statuses = {f"status_{status}": count for status, count in self.status_counts.items()}
         return outcomes | statuses
+
+
+def _deadline(pending: PendingRequest, request: Request, route: Route) -> int:
+    """By when a request must be answered, in microseconds of the clock.
+
+    The route's time runs from when it was read whole, and its client's from its first byte: what it
+    waits for its turn is part of both.
+    """
+    deadline = round(pending.read_at * SECOND) + route.timeout_us
+    client_waits = request.headers.get("x-time-remaining", "")  # in milliseconds
+    if client_waits.isdecimal() and len(client_waits) <= MAX_TIME_REMAINING_DIGITS:
+        sent_at = round(pending.first_byte_at * SECOND)
+        client_waits_us = int(client_waits) * MILLISECOND - ROUND_TRIP_US
+        deadline = min(deadline, sent_at + client_waits_us)
+    return deadline
--- a/umbermoor/gateway/simulation/traffic.py
+++ b/umbermoor/gateway/simulation/traffic.py
@@ -12,6 +12,7 @@
 from umbermoor.http1.reader import Request, Response
 
 if TYPE_CHECKING:
+    from umbermoor.gateway.server.proxy import Proxy
     from umbermoor.gateway.simulation.control_world import ControlWorld
     from umbermoor.gateway.simulation.instances import SimulatedInstance
     from umbermoor.gateway.simulation.nodes import ProxyNode
@@ -88,8 +89,7 @@
             "x-time-remaining": str(REQUEST_BUDGET_MS),
         }
         request = Request("GET", f"/{service}/x", headers, b"", True)
-        client: Any = SimulatedClient
-        process.run(lambda: program.requests.handle(client, PendingRequest(request), request))
+        process.run(lambda: _arrive(program, request))
 
     def request_sent(self, proxy: str, entry: Any, attempt: Any) -> None:
         """A proxy sends an attempt to an instance, as it is registered."""
@@ -128,3 +128,10 @@
             return False
         world.invariants.exposure.answered_badly(proxy, instance.service, rollout.target)
         return True
+
+
+def _arrive(proxy: "Proxy", request: Request) -> None:
+    """A request that a proxy has just read whole."""
+    client: Any = SimulatedClient
+    now = proxy.clock()
+    proxy.requests.handle(client, PendingRequest(request, first_byte_at=now, read_at=now), request)
