--- a/benchmarks/soak/instances.py
+++ b/benchmarks/soak/instances.py
@@ -34,9 +34,12 @@
     async def _work(self, request: Request, until: float) -> InstanceResponse:
         execution = Execution(time.monotonic())
         self._records.executions[request.headers["x-attempt-id"]].append(execution)
-        response = await super()._work(request, until)
-        execution.ended_at = time.monotonic()
-        return response
+        try:
+            response = await super()._work(request, until)
+            execution.ended_at = time.monotonic()
+            return response
+        finally:
+            execution.over_at = time.monotonic()
 
     def crash(self) -> None:
         """Ends without a word, its relay too."""
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -11,6 +11,7 @@
     ANSWERED = "answered"
     CLOSED = "closed"  # the connection closed before its answer
     NOT_SENT = "not_sent"  # there was no connection
+    LEFT = "left"  # the client left before its answer
     TIMED_OUT = "timed_out"
     GARBLED = "garbled"
 
@@ -35,7 +36,27 @@
     """One execution of a request by an instance."""
 
     began_at: float
-    ended_at: float = 0.0  # 0: cut off before its end
+    ended_at: float = 0.0  # with its whole work; 0: cut off before
+    over_at: float = 0.0  # either way; 0: goes on
+
+
+@dataclass
+class RouteProbe:
+    """Whether a proxy serves the route that a revision of the configuration added.
+
+    Attributes:
+        proxy: The proxy's name.
+        life: Tells the processes of one proxy apart.
+        sent_at: When it was asked.
+        revision: The revision that added the route.
+        served: Whether there was a route; False for 404 alone.
+    """
+
+    proxy: str
+    life: int
+    sent_at: float
+    revision: int
+    served: bool
 
 
 @dataclass
@@ -57,7 +78,10 @@
         executions: By the request's id.
         acknowledged: Revisions acknowledged, with the time of the acknowledgement.
         reads: Of the configuration: when each was sent, and the revision read.
+        probes: Of the routes that are in force at proxies.
         terms: SIGTERMs of nodes.
+        starts: Of processes, by the node's name.
+        cut: Cuts of instances, in which they hear of nothing.
         disturbed: Kills, pauses and cuts of nodes, which allow a request to be lost.
         broken: What was seen to be wrong at once.
     """
@@ -66,6 +90,9 @@
     executions: defaultdict[str, list[Execution]] = field(default_factory=lambda: defaultdict(list))
     acknowledged: list[tuple[float, int]] = field(default_factory=list)
     reads: list[tuple[float, int]] = field(default_factory=list)
+    probes: list[RouteProbe] = field(default_factory=list)
+    starts: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    cut: list[Span] = field(default_factory=list)
     terms: list[Span] = field(default_factory=list)
     disturbed: list[Span] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
