--- a/umbermoor/gateway/__main__.py
+++ b/umbermoor/gateway/__main__.py
@@ -5,6 +5,7 @@
 `umbermoor.gateway.cli`; `--help` lists it.
 """
 
+import signal
 import sys
 
 DEFAULT_SETTINGS_PATH = "/etc/umbermoor/settings.toml"
@@ -31,6 +32,10 @@
     Its settings are read from the file that `UMBERMOOR_SETTINGS` names. A fault in them is printed
     as one line on standard error, with status 2.
     """
+    # Its default action would end a program that is not so far that it handles it. What it tells,
+    # that the settings have changed, is met by reading them below.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
     import asyncio
     import os
 
