--- a/tests/gateway/features/departures.feature
+++ b/tests/gateway/features/departures.feature
@@ -29,3 +29,8 @@
     Then a proxy lets that run go on, and its client can read the response
     When a proxy's instances answer when released, and a client with a request that is unsafe has reset its connection
     Then a proxy lets that run go on, and keeps the connection to its instance
+
+  Scenario: a client that leaves more requests than are read is noticed
+    Given a proxy on loopback before 1 instances
+    When a client with 24 safe requests at instances that hang has ended its connection
+    Then a proxy that looks after its connections has nothing under way for it
--- a/tests/gateway/features/steps/departures_steps.py
+++ b/tests/gateway/features/steps/departures_steps.py
@@ -6,6 +6,7 @@
 
 from tests.gateway.loopback_proxy import reset
 from umbermoor.gateway.balancing.attempt_outcomes import AttemptOutcome
+from umbermoor.gateway.server.departures import Departure
 
 # Of the requests here; a hedge comes after 45 % of it, on whatever computer.
 TIME_REMAINING_MS = 800
@@ -150,3 +151,33 @@
     assert (counts["left_ended"], counts["left_reset"]) == (ended, reset), counts
     names = {metric.name for metric in context.loopback.proxy.metrics()}
     assert {"requests_left_ended", "requests_left_begun_later"} <= names, names
+
+
+@when("a client with {count:d} safe requests at instances that hang has {how}")
+def _(context, count, how):
+    loopback = context.loopback
+    loopback.instances.behaviors = ["hangs"] * 2 * count
+
+    async def scenario():
+        client = await loopback.client()
+        for number in range(count):
+            client.send(f"many{number}", "safe")
+        connections = loopback.proxy.clients.connections
+        await loopback.until(lambda: any(one.reading_paused for one in connections))
+        leave(client, how)
+
+    loopback.run(scenario())
+
+
+@then("a proxy that looks after its connections has nothing under way for it")
+def _(context):
+    proxy = context.loopback.proxy
+
+    def ended():
+        proxy.clients.sweep()
+        return not proxy.requests.active and not proxy.clients.connections
+
+    began = context.loopback.clock()
+    context.loopback.run(context.loopback.until(ended))
+    assert context.loopback.clock() - began < WELL_BEFORE_DEADLINE_S
+    assert proxy.requests.departures.requests[Departure.ENDED] > 0
--- a/umbermoor/gateway/server/client_connection.py
+++ b/umbermoor/gateway/server/client_connection.py
@@ -15,7 +15,7 @@
 from umbermoor.gateway.server.drain import Drain
 from umbermoor.gateway.server.http_messages import response_bytes
 from umbermoor.gateway.server.invariants import Invariants
-from umbermoor.gateway.server.peer_transport import tune_socket
+from umbermoor.gateway.server.peer_transport import peer_has_ended, tune_socket
 from umbermoor.gateway.server.pending_request import PendingRequest, ResponseParts
 from umbermoor.gateway.server.request_audit import RequestAudit, UnansweredCause
 from umbermoor.gateway.units import SECOND
@@ -396,6 +396,10 @@
         """Closes it where it is idle, or slow to send its request or to read its response."""
         if self.transport is None:
             return
+        if self.pending and self.reading_paused and peer_has_ended(self.transport):
+            if not self.eof_received():  # its end waits behind what is not read
+                self.transport.close()
+            return
         idle_s = now - self.last_activity
         if self.writing_paused:
             self._sweep_slow_reader(now, idle_s)
--- a/umbermoor/gateway/server/peer_transport.py
+++ b/umbermoor/gateway/server/peer_transport.py
@@ -21,6 +21,7 @@
 MAX_WRITE_BACKLOG_BYTES = 4 << 20  # that wait for a peer that does not read
 MAX_WAITING_MESSAGES = 100  # for a connection that is being opened
 CONNECT_TIMEOUT_S = 0.6
+TCP_CLOSE_WAIT = 8  # its state once the other side has ended (linux/tcp_states.h)
 TCP_USER_TIMEOUT_MS = 1500  # without an acknowledgement until a connection is broken
 COMPRESS_FROM_BYTES = 4096
 COMPRESSION_LEVEL = 1
@@ -128,6 +129,18 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def peer_has_ended(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has ended its sending, also where nothing is read of the connection.
+
+    False where the system does not tell (tcp(7), TCP_INFO).
+    """
+    sock = transport.get_extra_info("socket")
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE_WAIT
+    except OSError:
+        return False
+
+
 class PeerTransport:
     """The connections to and from other processes, by IP address; all listen on the same port.
 
