--- a/umbermoor/gateway/server/client_connection.py
+++ b/umbermoor/gateway/server/client_connection.py
@@ -1,37 +1,28 @@
-"""Connections of clients: requests are read as they come, pipelined ones too; responses keep order.
+"""One connection of a client: requests are read as they come, pipelined ones too.
 
-`ClientConnections` holds all of them and what applies to each; a `ClientConnection` reads requests,
-hands each to the request handler when it is its turn, and writes its response when those before it
-have left.
+Each is handed to the request handler when it is its turn, and its response leaves when those before
+it have. All connections of a proxy, and what applies to each, are in `client_connections`.
 """
 
 import asyncio
-from collections.abc import Callable
 from typing import TYPE_CHECKING, cast
 
 from umbermoor.gateway.balancing.attempt_outcomes import SINGLE_VALUE_HEADERS
-from umbermoor.gateway.routing.route_table import ClientLimits
 from umbermoor.gateway.server.departures import Departure
-from umbermoor.gateway.server.drain import Drain
 from umbermoor.gateway.server.http_messages import response_bytes
-from umbermoor.gateway.server.invariants import Invariants
 from umbermoor.gateway.server.peer_transport import peer_has_ended, tune_socket
 from umbermoor.gateway.server.pending_request import PendingRequest, ResponseParts
-from umbermoor.gateway.server.request_audit import RequestAudit, UnansweredCause
-from umbermoor.gateway.units import SECOND
-from umbermoor.http1.buffers import Buffers
+from umbermoor.gateway.server.request_audit import UnansweredCause
 from umbermoor.http1.reader import Fault, Reader, Request
 
 if TYPE_CHECKING:
-    from umbermoor.gateway.server.request_handler import RequestHandler
+    from umbermoor.gateway.server.client_connections import ClientConnections
 
 REQUEST_TIMEOUT = 408
 UNAVAILABLE = 503
 DRAINING_RETRY_AFTER = {"retry-after": "0.05"}  # on a new connection another proxy is met
 
-MAX_BODY_BYTES = 8 << 20  # of a request: it is held whole until it is sent to an instance
 MAX_PIPELINED_REQUESTS = 16  # of one connection that may wait for their responses
-MAX_CONNECTIONS = 2500  # what strangers can open
 MAX_REQUEST_S = 30.0  # a request that is not whole by then is given up, however steadily it comes
 HEADER_GRACE_S = 2  # beyond the limit that the configuration sets, for a head that stopped coming
 STALLED_S = 1
@@ -39,81 +30,6 @@
 LINGER_S = 0.5
 # A client that does not read must take so much in MAX_REQUEST_S.
 MIN_READ_BYTES = 4096
-IDLE_GRACE_S = 1.0  # closed so long after the idle time that a client was told
-
-
-class ClientConnections:
-    """All connections of clients.
-
-    Attributes:
-        buffers: The memory that partly read requests share.
-        clock: Seconds of a steady clock.
-        handler: Takes the requests.
-        audit: Counts the requests that are begun, and those that get no answer.
-        connections: Those that are open.
-        drain: The end of the proxy: no connection is kept behind its last response.
-        keep_alive_s: How long clients are told that a connection may stay idle.
-        idle_timeout_s: How long it may.
-        header_timeout_s: How long a head may take to come.
-        max_body_bytes: Most bytes of a request's body.
-    """
-
-    def __init__(
-        self,
-        buffers: Buffers,
-        clock: Callable[[], float],
-        handler: "RequestHandler",
-        invariants: Invariants,
-    ) -> None:
-        self.buffers = buffers
-        self.clock = clock
-        self.handler = handler
-        self.drain = Drain(clock)
-        self.audit = RequestAudit(clock, self.drain, invariants)
-        self.connections: set[ClientConnection] = set()
-        self.keep_alive_s = 10
-        self.idle_timeout_s = 15.0
-        self.header_timeout_s = 3.0
-        self.max_body_bytes = MAX_BODY_BYTES
-
-    def accept(self) -> "ClientConnection":
-        """The protocol of a new connection."""
-        return ClientConnection(self)
-
-    def apply_limits(self, limits: ClientLimits) -> None:
-        """Takes over what a configuration says."""
-        idle_s = limits.idle_timeout_us / SECOND
-        self.idle_timeout_s = idle_s + IDLE_GRACE_S
-        self.keep_alive_s = max(1, round(idle_s) - 1)
-        self.header_timeout_s = limits.header_timeout_us / SECOND
-        self.max_body_bytes = min(MAX_BODY_BYTES, limits.body_bytes)
-
-    def refuse_more(self) -> None:
-        """Takes nothing more where a request is under way; idle connections may bring one."""
-        for connection in list(self.connections):
-            connection.refuse_more()
-
-    def reject_partial(self) -> None:
-        """Answers what is not whole at the end of the drain: it never will be begun."""
-        for connection in list(self.connections):
-            connection.reject_partial()
-
-    def report_unanswered(self) -> None:
-        """Counts the requests that get no answer because the process ends now."""
-        for connection in self.connections:
-            connection.report_unanswered(UnansweredCause.PROCESS_ENDED)
-
-    def sweep(self) -> None:
-        """Closes what has been idle or slow for too long."""
-        now = self.clock()
-        for connection in list(self.connections):
-            connection.sweep(now, self.header_timeout_s, self.idle_timeout_s)
-
-    def close_idle(self) -> None:
-        """Closes connections on which no request is under way."""
-        for connection in list(self.connections):
-            if connection.is_idle():
-                connection.transport.close()
 
 
 class ClientConnection(asyncio.Protocol):
@@ -136,7 +52,7 @@
         "writing_paused",
     )
 
-    def __init__(self, clients: ClientConnections) -> None:
+    def __init__(self, clients: "ClientConnections") -> None:
         self.clients = clients
         self.transport: asyncio.Transport = None  # type: ignore[assignment]  # until it is made
         self.reader = Reader(
@@ -160,12 +76,10 @@
         """Begins, where there are not too many."""
         self.transport = cast(asyncio.Transport, transport)
         tune_socket(transport)
-        clients = self.clients
-        if len(clients.connections) >= MAX_CONNECTIONS:
+        if not self.clients.admit(self):
             self.transport.abort()
             return
-        clients.connections.add(self)
-        self.last_activity = clients.clock()
+        self.last_activity = self.clients.clock()
 
     def data_received(self, data: bytes) -> None:
         """Reads requests, and starts those whose turn it is."""
--- a/umbermoor/gateway/server/connections.py
+++ b/umbermoor/gateway/server/connections.py
@@ -25,7 +25,7 @@
 from umbermoor.http1.reader import Fault, Reader, Response
 
 if TYPE_CHECKING:
-    from umbermoor.gateway.server.request_handler import ActiveRequest
+    from umbermoor.gateway.server.active_request import ActiveRequest
 
 CONNECT_TIMEOUT_S = 0.35
 IDLE_TIMEOUT_S = 8.0  # kept no longer where the instance names no time
--- a/umbermoor/gateway/server/controller_link.py
+++ b/umbermoor/gateway/server/controller_link.py
@@ -16,7 +16,7 @@
 from umbermoor.gateway.rollout.observer import RolloutObserver
 from umbermoor.gateway.rollout.records import ROLLOUT_KEY_PREFIX
 from umbermoor.gateway.routing.route_table import RouteTable
-from umbermoor.gateway.server.client_connection import ClientConnections
+from umbermoor.gateway.server.client_connections import ClientConnections
 from umbermoor.gateway.server.connections import ConnectionPool
 from umbermoor.gateway.server.events import event
 from umbermoor.gateway.server.peer_transport import PeerConnection, PeerTransport
--- a/umbermoor/gateway/server/pending_request.py
+++ b/umbermoor/gateway/server/pending_request.py
@@ -5,7 +5,7 @@
 from umbermoor.http1.reader import Request
 
 if TYPE_CHECKING:
-    from umbermoor.gateway.server.request_handler import ActiveRequest
+    from umbermoor.gateway.server.active_request import ActiveRequest
 
 ResponseParts = tuple[int, bytes, dict[str, str]]  # status, body, headers
 
--- a/umbermoor/gateway/server/proxy.py
+++ b/umbermoor/gateway/server/proxy.py
@@ -27,7 +27,7 @@
 from umbermoor.gateway.membership.failure_detector import FailureDetector
 from umbermoor.gateway.rollout.observer import RolloutObserver
 from umbermoor.gateway.server import datagrams
-from umbermoor.gateway.server.client_connection import ClientConnections
+from umbermoor.gateway.server.client_connections import ClientConnections
 from umbermoor.gateway.server.connections import ConnectionPool
 from umbermoor.gateway.server.controller_link import ControllerLink
 from umbermoor.gateway.server.drain import CLOSING_S, DrainPhase
@@ -100,14 +100,7 @@
         self.rollouts = RolloutObserver()
         self.retry_budgets = RetryBudgets(*_retry_bounds(settings))
         self.invariants = Invariants()
-        self.requests = RequestHandler(
-            self.instances,
-            self.rollouts,
-            self.retry_budgets,
-            self.invariants,
-            self.clock,
-            chance,
-        )
+        self.requests = self._make_request_handler(chance)
         self.pool = pool or ConnectionPool(self.buffers, self.clock, self.requests.may_send)
         self.requests.pool = self.pool
         self.clients = ClientConnections(self.buffers, self.clock, self.requests, self.invariants)
@@ -128,6 +121,16 @@
         self._swept_at = 0.0
         self._stop_requested = asyncio.Event()
 
+    def _make_request_handler(self, chance: random.Random) -> RequestHandler:
+        return RequestHandler(
+            self.instances,
+            self.rollouts,
+            self.retry_budgets,
+            self.invariants,
+            self.clock,
+            chance,
+        )
+
     def now(self) -> int:
         """Microseconds of the steady clock."""
         return round(self.clock() * SECOND)
--- a/umbermoor/gateway/server/request_handler.py
+++ b/umbermoor/gateway/server/request_handler.py
@@ -37,6 +37,7 @@
 from umbermoor.gateway.balancing.retry_budget import RetryBudgets
 from umbermoor.gateway.rollout.observer import RolloutObserver
 from umbermoor.gateway.routing.route_table import Route, RouteTable
+from umbermoor.gateway.server.active_request import ActiveRequest, deadline_of
 from umbermoor.gateway.server.client_connection import ClientConnection
 from umbermoor.gateway.server.connections import Attempt, ConnectionPool
 from umbermoor.gateway.server.departures import DepartureCounter
@@ -50,58 +51,12 @@
 NOT_FOUND = 404
 
 NO_ROUTES_RETRY_AFTER = {"retry-after": "0.3"}
-# Taken off the time that a client says it waits, for the way there and back.
-ROUND_TRIP_US = 10 * MILLISECOND
-MAX_TIME_REMAINING_DIGITS = 8
 # After the deadline, a response at the last moment may still be on its way.
 ATTEMPT_GRACE_S = 0.1
 HEDGE_AFTER_SERVICE_TIMES = 4
 DEFAULT_SERVICE_TIME_US = 100_000.0  # for hedging, before the first response of a service
 
 
-class ActiveRequest:
-    """A request that is worked at: what its lifecycle does not hold.
-
-    Attributes:
-        connection: Its client's connection.
-        pending: Its place there.
-        request: What was asked.
-        route: The route that it took.
-        lifecycle: Its state, and what comes next.
-        attempts: Attempts in flight.
-        attempts_made: How many were made.
-        timer: Wakes it when something is due.
-    """
-
-    __slots__ = (
-        "attempts",
-        "attempts_made",
-        "connection",
-        "lifecycle",
-        "pending",
-        "request",
-        "route",
-        "timer",
-    )
-
-    def __init__(
-        self,
-        connection: ClientConnection,
-        pending: PendingRequest,
-        request: Request,
-        route: Route,
-        lifecycle: RequestLifecycle,
-    ) -> None:
-        self.connection = connection
-        self.pending = pending
-        self.request = request
-        self.route = route
-        self.lifecycle = lifecycle
-        self.attempts: list[Attempt] = []
-        self.attempts_made = 0
-        self.timer: asyncio.TimerHandle | None = None
-
-
 class RequestHandler:
     """Carries each request from its client to an instance and back.
 
@@ -179,7 +134,7 @@
     ) -> None:
         now = self.now()
         service = route.service_for(self.random())
-        deadline = _deadline(pending, request, route)
+        deadline = deadline_of(pending, request, route)
         lifecycle = RequestLifecycle(service, route.idempotent, route.max_attempts, deadline)
         if self.drain_deadline is not None:
             lifecycle.bound_deadline(self.drain_deadline)
@@ -437,18 +392,3 @@
         outcomes = {outcome.value: count for outcome, count in self.outcome_counts.items() if count}
         statuses = {f"status_{status}": count for status, count in self.status_counts.items()}
         return outcomes | statuses
-
-
-def _deadline(pending: PendingRequest, request: Request, route: Route) -> int:
-    """By when a request must be answered, in microseconds of the clock.
-
-    The route's time runs from when it was read whole, and its client's from its first byte: what it
-    waits for its turn is part of both.
-    """
-    deadline = round(pending.read_at * SECOND) + route.timeout_us
-    client_waits = request.headers.get("x-time-remaining", "")  # in milliseconds
-    if client_waits.isdecimal() and len(client_waits) <= MAX_TIME_REMAINING_DIGITS:
-        sent_at = round(pending.first_byte_at * SECOND)
-        client_waits_us = int(client_waits) * MILLISECOND - ROUND_TRIP_US
-        deadline = min(deadline, sent_at + client_waits_us)
-    return deadline
