--- a/tests/gateway/features/distribution.feature
+++ b/tests/gateway/features/distribution.feature
@@ -31,3 +31,8 @@
   Scenario: a subscriber follows the replica set
     Then a subscriber takes a later replica set also from one that was taken out, and no earlier one
     And a subscriber that has received nothing for 11 s asks its seeds again, those named later too
+
+  Scenario: a change that comes right behind another one is pulled at once
+    Given a proxy on loopback before 1 instances
+    Then a proxy that has revision 2 in force and is told of revision 3 in that moment asks for it at once
+    And a proxy that waits for revision 4 asks no other controller meanwhile
--- a/tests/gateway/features/steps/distribution_steps.py
+++ b/tests/gateway/features/steps/distribution_steps.py
@@ -9,6 +9,7 @@
 
 from behave import then
 
+from tests.gateway.proxy_inputs import CONTROLLER_ADDRESS, configuration, instances_update
 from umbermoor.gateway.discovery.registry import (
     DRAINING,
     GONE,
@@ -461,3 +462,30 @@
         s * 1000 * MS, "g", update(subscriber, s * 1000 * MS, "g", everyone=["g", "h", "i"], set=7)
     )
     assert set(subscriber.sources) == {"g", "h", "i"}
+
+
+def offer(loopback, number, revision):
+    """A controller tells the proxy that it holds a revision; the pulls that it is sent at once."""
+    sent = []
+    loopback.proxy.controllers.peers.send = lambda address, message: sent.append(message)
+    connection = type("Connection", (), {"peer": CONTROLLER_ADDRESS})
+    update = instances_update(number, []) | {"revision": revision}
+    loopback.proxy.controllers.receive(connection, update)
+    return sent
+
+
+@then(
+    "a proxy that has revision {held:d} in force and is told of revision {offered:d} in that moment asks for it at once"
+)
+def _(context, held, offered):
+    loopback = context.loopback
+    assert [pull.get("want") for pull in offer(loopback, 2, held)] == [True]
+    body = {"kind": "body", "text": json.dumps(configuration(held))}
+    loopback.proxy.controllers.take_configuration(body)
+    assert loopback.proxy.requests.routes.revision == held
+    assert [pull.get("want") for pull in offer(loopback, 3, offered)] == [True]
+
+
+@then("a proxy that waits for revision {offered:d} asks no other controller meanwhile")
+def _(context, offered):
+    assert offer(context.loopback, 4, offered) == []
