--- a/umbermoor/gateway/distribution/subscriber.py
+++ b/umbermoor/gateway/distribution/subscriber.py
@@ -150,6 +150,11 @@
     def _preference(self, name: str) -> int:
         return crc32(f"{self.salt} {name}".encode())
 
+    def configuration_applied(self, revision: int, base_digest: str) -> None:
+        """The host holds that configuration now; a newer one may be asked for at once."""
+        self.revision, self.base_digest = max(self.revision, revision), base_digest
+        self._next_body_at = 0
+
     def discard_base(self) -> None:
         """A delta could not be applied: the next configuration is asked for as a whole."""
         self.base_digest, self._next_body_at = "", 0
--- a/umbermoor/gateway/server/controller_link.py
+++ b/umbermoor/gateway/server/controller_link.py
@@ -197,7 +197,6 @@
     def _put_in_force(self, routes: RouteTable, text: Any) -> None:
         self._requests.routes = routes
         self.configuration_text = text
-        self.subscriber.base_digest = text_digest(text)
-        self.subscriber.revision = max(self.subscriber.revision, routes.revision)
+        self.subscriber.configuration_applied(routes.revision, text_digest(text))
         self._clients.apply_limits(routes.client_limits)
         event("configuration_applied", revision=routes.revision_text, source="update")
--- a/umbermoor/gateway/server/events.py
+++ b/umbermoor/gateway/server/events.py
@@ -1,5 +1,6 @@
 """The log: one line of key=value pairs an event, on standard error, by absl."""
 
+from asyncio import CancelledError
 from typing import Any
 
 
@@ -30,9 +31,15 @@
 
 
 def watch(loop: Any) -> None:
-    """Logs exceptions that no handler caught: each ended only the connection that it came on."""
+    """Logs exceptions that no handler caught: each ended only the connection that it came on.
+
+    A task that was cancelled failed in nothing; streams of Python 3.11 report it all the same, of a
+    connection that came as the process ended.
+    """
 
     def log_exception(_: Any, context: dict[str, Any]) -> None:
+        if isinstance(context.get("exception"), CancelledError):
+            return
         event(
             "unhandled_exception",
             message=context.get("message", ""),
