--- /dev/null
+++ b/tests/gateway/control/closing_losses.py
@@ -0,0 +1,82 @@
+"""Days of the control world that end with the worst loss that is to be borne: right after a
+configuration was sent or acknowledged, as many controllers as are borne lose their disks, and all
+other machines lose power, proxies too."""
+
+import random
+
+from umbermoor.gateway.simulation.control_world import ControlWorld
+from umbermoor.gateway.simulation.schedule import Schedule, Step
+from umbermoor.gateway.simulation.schedule_generator import draw
+from umbermoor.gateway.units import MILLISECOND
+
+LENGTH_MS = 13_000
+LOSS_MS = 6_000, 12_000  # between these
+LATE_MS = 0, 1, 4, 50, 200  # behind what it strikes at
+BACK_MS = 100, 500, 1_500
+ORDERS = "config", "old", "bad", "again", "rollout", "read", "rollout_read", "come", "leave"
+
+
+class ClosingLossWorld(ControlWorld):
+    """A control world with one more kind of step, `closing_loss`."""
+
+    def __init__(self, schedule: Schedule) -> None:
+        super().__init__(schedule)
+        self._fault_actions["closing_loss"] = self._prepare_loss
+
+    def _prepare_loss(self, step: Step) -> None:
+        def strike_later() -> None:
+            self.time.after(step.number("late") * MILLISECOND, lambda: self._strike(step))
+
+        if step.text("behind") == "ack":
+            self.operators.after_next_acknowledgement(strike_later)
+            self.operators.send_new_configuration()
+        else:
+            self.operators.send_new_configuration()
+            strike_later()
+
+    def _strike(self, step: Step) -> None:
+        back_ms, first = step.number("back"), step.number("on")
+        lost = [
+            self.controllers[self.controller_name(first + index)]
+            for index in range(self.schedule.tolerated_losses)
+        ]
+        wiped = [node for node in lost if self.disturbances.may_lose_disk(node.host.ip)]
+        for node in self.controllers.values():
+            self.process_faults.kill(node, back_ms + self.rng.randrange(200), power_lost=True)
+        for proxy in self.proxies.values():
+            if proxy.running:
+                proxy.kill()
+                self.time.after(back_ms * MILLISECOND, proxy.start)
+        for node in wiped:
+            self.disk_faults.wipe(node)
+
+
+def closing_loss_schedule(seed: int) -> Schedule:
+    """Orders as a seed draws them, a controller killed or cut off before, and the loss."""
+    rng = random.Random(f"closing loss {seed}")
+    members = rng.choice((3, 5))
+    steps = [step for step in draw(seed, members, LENGTH_MS).steps if step.kind in ORDERS]
+    at_ms, member = rng.randrange(*LOSS_MS), rng.randrange(members)
+    if rng.random() < 0.5:
+        killed_at_ms = max(0, at_ms - rng.randrange(4_000))
+        steps.append(_step(killed_at_ms, "core_kill", on=rng.randrange(members), back=600))
+    if rng.random() < 0.5:
+        cut_at_ms = max(0, at_ms - rng.randrange(6_000))
+        other = (member + 1) % members
+        steps.append(_step(cut_at_ms, "core_cut", on=member, other=other, how="out", span=2_500))
+    steps.append(
+        _step(
+            at_ms,
+            "closing_loss",
+            behind=rng.choice(("ack", "sent")),
+            late=rng.choice(LATE_MS),
+            on=rng.randrange(members),
+            back=rng.choice(BACK_MS),
+        )
+    )
+    steps.sort(key=lambda step: step.at_ms)
+    return Schedule(seed, members, 3, (members - 1) // 2, LENGTH_MS, tuple(steps))
+
+
+def _step(at_ms: int, kind: str, **arguments: object) -> Step:
+    return Step(at_ms, kind, tuple((name, str(value)) for name, value in arguments.items()))
--- a/tests/gateway/features/simulation.feature
+++ b/tests/gateway/features/simulation.feature
@@ -10,6 +10,9 @@
       | 1     | 5    |
       | 6     | 10   |
 
+  Scenario: Nothing acknowledged is lost with the disks that are to be borne and all power
+    Then days 0 to 3 that end with a closing loss violate no invariant
+
   Scenario: Schedules that violated an invariant once do so no more
     Given the kept schedules
     Then no schedule violates an invariant
--- a/tests/gateway/features/steps/simulation_steps.py
+++ b/tests/gateway/features/steps/simulation_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from tests.gateway.control import mutants
+from tests.gateway.control.closing_losses import ClosingLossWorld, closing_loss_schedule
 from umbermoor.gateway.simulation.control_world import ControlWorld
 from umbermoor.gateway.simulation.schedule import ScheduleSyntaxError, parse
 from umbermoor.gateway.simulation.schedule_generator import draw
@@ -28,6 +29,15 @@
     context.worlds = [ControlWorld(schedule).run() for schedule in context.schedules]
 
 
+@then("days {first:d} to {last:d} that end with a closing loss violate no invariant")
+def _(context: Any, first: int, last: int) -> None:
+    for seed in range(first, last + 1):
+        world = ClosingLossWorld(closing_loss_schedule(seed)).run()
+        assert world.faults["closing_loss"] == 1, world.faults
+        counts = world.counts + world.invariants.counts
+        assert counts["config 200"] > 1 and counts["wiped"], counts
+
+
 @then("the schedules had faults, orders and rollouts")
 def _(context: Any) -> None:
     faults = sum((world.faults for world in context.worlds), Counter())
