--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from benchmarks.soak.records import Records, Span
+from benchmarks.soak.stalls import stalled_s
 from umbermoor.gateway.local.gateway import RESTART_DELAY_S, LocalGateway
 from umbermoor.gateway.local.node import CONTROLLER, GRACE_S, PROXY, ZONES, Node, send_signal
 
@@ -81,7 +82,8 @@
         send_signal(process, signal.SIGTERM)
         await asyncio.wait((asyncio.ensure_future(process.wait()),), timeout=GRACE_S)
         if process.returncode is None:
-            if not self._was_paused(node, now):
+            stalled = stalled_s(self.records, now, time.monotonic())
+            if not self._was_paused(node, now) and not stalled:
                 self.records.broken.append(f"{node.name} outlived its grace")
             await self.kill([node])
 
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -83,6 +83,7 @@
         starts: Of processes, by the node's name.
         cut: Cuts of instances, in which they hear of nothing.
         disturbed: Kills, pauses and cuts of nodes, which allow a request to be lost.
+        stalls: When the soak's own loop stood still, and could judge no time.
         broken: What was seen to be wrong at once.
     """
 
@@ -95,4 +96,5 @@
     cut: list[Span] = field(default_factory=list)
     terms: list[Span] = field(default_factory=list)
     disturbed: list[Span] = field(default_factory=list)
+    stalls: list[Span] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -21,6 +21,7 @@
 from benchmarks.soak.records import Records
 from benchmarks.soak.relays import Relay
 from benchmarks.soak.route_probes import RouteProber
+from benchmarks.soak.stalls import watch_stalls
 from umbermoor.gateway.local.gateway import StepFailedError
 from umbermoor.gateway.local.instance import InstanceSettings
 from umbermoor.gateway.local.node import HEARTBEAT_INTERVAL_S, ZONES, free_addresses
@@ -44,6 +45,7 @@
     acknowledged: int = 0
     reads: int = 0
     probes: int = 0
+    stalled_s: float = 0.0  # of the soak's own loop
 
     def line(self) -> str:
         """One line."""
@@ -51,7 +53,7 @@
         return (
             f"seed {self.seed}: {len(self.broken)} broken; {seen}; "
             f"{self.acknowledged} configurations acknowledged, {self.reads} read, "
-            f"{self.probes} probes of routes"
+            f"{self.probes} probes of routes; stood still {self.stalled_s:.1f} s"
         )
 
 
@@ -120,6 +122,7 @@
             len(records.acknowledged),
             len(records.reads),
             len(records.probes),
+            sum(stall.ended_at - stall.began_at for stall in records.stalls),
         )
 
     async def _start(self) -> Operators:
@@ -168,6 +171,7 @@
             operators.keep_sending(),
             operators.keep_reading(),
             prober.run(),
+            watch_stalls(self.records),
         ]
         return [asyncio.create_task(run) for run in [*runs, *(one.run() for one in clients)]]
 
