--- a/tests/gateway/features/replica_set.feature
+++ b/tests/gateway/features/replica_set.feature
@@ -207,3 +207,22 @@
     And puts are made in the register for 2500 ms
     And member 1 of the register is ordered to replace member 2
     Then the order is refused: "10.0.0.100 is not ready: no learner of this system that all of the chain hear, filled and well"
+
+  Scenario: Members that a platform replaces for good are succeeded, in whatever order it does so
+    Then each of these replacements leaves a set that bears the loss of its disks
+      | order                                          | members | seeds |
+      | planned                                        | 3, 5    | 3     |
+      | planned, SIGTERM 0.5 s after the newcomer      | 3, 5    | 2     |
+      | planned, and killed                            | 3, 5    | 2     |
+      | planned, while another in its zone restarts    | 3, 5    | 2     |
+      | planned, while another in its zone is cut off  | 3, 5    | 2     |
+      | planned, and all lose power in the middle      | 3, 5    | 4     |
+      | lost, a newcomer at once                       | 3, 5    | 2     |
+      | lost, a newcomer 0.4 s later                   | 3, 5    | 2     |
+      | lost, a newcomer 1 s later                     | 3, 5    | 2     |
+      | lost, a newcomer 5 s later                     | 3, 5    | 2     |
+      | lost, and its newcomer after it                | 3, 5    | 2     |
+      | succeeded, and back after all                  | 3, 5    | 2     |
+      | two lost at once                               | 5       | 3     |
+      | two planned at once                            | 5       | 3     |
+      | two lost, one after the other                  | 5       | 3     |
--- a/tests/gateway/features/steps/replica_set_steps.py
+++ b/tests/gateway/features/steps/replica_set_steps.py
@@ -6,10 +6,12 @@
 from behave import given, then, when
 
 from benchmarks.second_loss import second
+from tests.gateway.platform_replacements import ORDERS, play
 from tests.gateway.replica_set_world import Sets, founded_sets, storm_sets
 from tests.gateway.view_change_model import Broken, Order, Rules, Space
 from umbermoor.gateway.effects import Status
 from umbermoor.gateway.replication.codec import encode
+from umbermoor.gateway.simulation.violations import InvariantViolation
 from umbermoor.gateway.units import MILLISECOND
 
 
@@ -567,3 +569,17 @@
 def _(context: Any, number: int) -> None:
     assert (named(context, number), "prepare") in context.sent
     assert (named(context, number), "newview") not in context.sent
+
+
+@then("each of these replacements leaves a set that bears the loss of its disks")
+def _(context: Any) -> None:
+    assert {row["order"] for row in context.table} == set(ORDERS)
+    broken = []
+    for row in context.table:
+        for members in map(int, row["members"].split(", ")):
+            for seed in range(int(row["seeds"])):
+                try:
+                    play(row["order"], members, seed)
+                except InvariantViolation as violation:
+                    broken.append(f"{row['order']}, {members} members, seed {seed}: {violation}")
+    assert not broken, "\n".join(broken)
--- /dev/null
+++ b/tests/gateway/platform_replacements.py
@@ -0,0 +1,246 @@
+"""Members of the replica set that a platform replaces for good, in the orders that it may do so.
+
+Virtual time, see `replica_set_world`. A newcomer is empty, counts by the platform's word and comes in
+the zone of the member that it is for; it may come before that member ends. Times are microseconds.
+"""
+
+from collections.abc import Callable
+from itertools import combinations
+
+from tests.gateway.replica_set_world import Sets
+from umbermoor.gateway.simulation.violations import Invariant, InvariantViolation
+from umbermoor.gateway.units import MILLISECOND, SECOND
+
+SETTLING = 4 * SECOND  # the shortest `settlingS` of the deployments
+
+
+class ReplacingPlatform(Sets):
+    """A world of members, without spares until the platform starts them; none ends by itself.
+
+    Attributes:
+        gone: machines that never come back.
+        expected: who the members are to be once all has settled.
+    """
+
+    def __init__(self, seed: int, members: int) -> None:
+        super().__init__(seed, members, spares=2 * members, succeed=True)
+        self.seed = seed
+        self.gone: set[str] = set()
+        self.unused = [name for name in self.names if name not in self.first]
+        self.expected = set(self.first)
+        for name in self.first:
+            self.start(name)
+        if not self.run(5 * SECOND, self.whole):
+            raise InvariantViolation(Invariant.NOT_STARTED, "not founded", self.now)
+        self.run(2 * SECOND)
+
+    def start_all(self, cold: bool | None = None) -> None:
+        for name in self.names:
+            machine = self.machines[name]
+            if not machine.member and name not in self.gone and name not in self.unused:
+                self.start(name, cold)
+
+    def _zone(self, name: str) -> int:
+        return self.names.index(name) % 3
+
+    def member(self, place: int) -> str:
+        """One of the first members, drawn by the seed; other places are others."""
+        return self.first[(place + self.seed) % len(self.first)]
+
+    def beside(self, member: str) -> str:
+        """Another first member in the zone of that one; another at all where there is none."""
+        others = [name for name in self.first if name != member]
+        return next((name for name in others if self._zone(name) == self._zone(member)), others[0])
+
+    def newcomer(self, member: str) -> str:
+        """Start an empty machine that is to take the place of that one."""
+        name = next(name for name in self.unused if self._zone(name) == self._zone(member))
+        self.unused.remove(name)
+        self.start(name)
+        self.expected = self.expected - {member} | {name}
+        return name
+
+    def kill(self, member: str) -> None:
+        """It is gone, without a word."""
+        self.gone.add(member)
+        self.stop(member)
+
+    def terminate(self, member: str) -> None:
+        """It is told to end, and does not come back."""
+        self.gone.add(member)
+        self.leave(member)
+
+    def cut_off(self, name: str) -> None:
+        """It reaches nobody, and nobody reaches it."""
+        for other in self.names:
+            self.cut |= {(name, other), (other, name)}
+
+    def wait(self, seconds: float) -> None:
+        """That much time passes, with a write now and then."""
+        until = self.now + round(seconds * SECOND)
+        while self.now < until:
+            running = [name for name in self.members() if self.machines[name].member]
+            self.put(running[0], "config/a")
+            self.run(min(500 * MILLISECOND, until - self.now))
+
+    def check_settled(self) -> None:
+        """The newcomers are members in the places of those that they are for, and none is degraded."""
+        self.wait(SETTLING / SECOND)
+        if set(self.members()) != self.expected or not self.whole():
+            statuses = [self.machines[name].member for name in self.members()]
+            raise InvariantViolation(
+                Invariant.NOT_RECOVERED,
+                f"members {self.members()}, to be {sorted(self.expected)}; "
+                f"{[member and member.status() for member in statuses]}",
+                self.now,
+            )
+
+    def close(self, lost: tuple[int, ...]) -> None:
+        """Right behind an acknowledgement, these members lose their disks and all their power."""
+        call = self.calls[self.put(self.members()[-1], "config/closing")]
+        self.run(SECOND, lambda: call.answered is not None)
+        for place in lost:
+            self.lose_disk(self.members()[place])
+        for name in self.names:
+            self.stop(name)
+        self.run(800 * MILLISECOND)
+        self.check()
+
+
+def _planned(world: ReplacingPlatform) -> None:
+    world.newcomer(world.member(0))
+    world.wait(6)
+    world.terminate(world.member(0))
+
+
+def _planned_in_a_hurry(world: ReplacingPlatform) -> None:
+    world.newcomer(world.member(0))
+    world.wait(0.5)
+    world.terminate(world.member(0))
+
+
+def _planned_and_killed(world: ReplacingPlatform) -> None:
+    world.newcomer(world.member(0))
+    world.wait(6)
+    world.kill(world.member(0))
+
+
+def _planned_while_another_restarts(world: ReplacingPlatform) -> None:
+    world.newcomer(world.member(0))
+    world.wait(3)
+    other = world.beside(world.member(0))
+    world.leave(other)
+    world.wait(1.5)
+    world.start(other)
+    world.wait(3)
+    world.terminate(world.member(0))
+
+
+def _planned_while_another_is_cut_off(world: ReplacingPlatform) -> None:
+    world.newcomer(world.member(0))
+    world.wait(3)
+    world.cut_off(world.beside(world.member(0)))
+    world.wait(6)
+    world.cut.clear()
+    world.wait(3)
+    world.terminate(world.member(0))
+
+
+def _planned_and_all_lose_power(world: ReplacingPlatform) -> None:
+    world.newcomer(world.member(0))
+    world.wait(3)
+    world.terminate(world.member(0))
+    world.run(world.chance.randrange(150) * MILLISECOND)
+    for name in world.names:
+        world.stop(name)
+    world.run(800 * MILLISECOND)
+    world.start_all(cold=False)
+
+
+def _lost(newcomer_after_s: float) -> Callable[[ReplacingPlatform], None]:
+    def lose(world: ReplacingPlatform) -> None:
+        world.kill(world.member(0))
+        world.wait(newcomer_after_s)
+        world.newcomer(world.member(0))
+
+    return lose
+
+
+def _two_lost_at_once(world: ReplacingPlatform) -> None:
+    for place in (0, 1):
+        world.kill(world.member(place))
+    world.run(SECOND)
+    for place in (0, 1):
+        world.newcomer(world.member(place))
+
+
+def _two_planned_at_once(world: ReplacingPlatform) -> None:
+    for place in (0, 1):
+        world.newcomer(world.member(place))
+    world.wait(6)
+    for place in (0, 1):
+        world.terminate(world.member(place))
+
+
+def _two_lost_in_turn(world: ReplacingPlatform) -> None:
+    for place, newcomer_after_s in ((0, 0.5), (1, 0.3)):
+        world.kill(world.member(place))
+        world.run(round(newcomer_after_s * SECOND))
+        world.newcomer(world.member(place))
+
+
+def _newcomer_lost_too(world: ReplacingPlatform) -> None:
+    world.kill(world.member(0))
+    world.wait(1)
+    first = world.newcomer(world.member(0))
+    world.wait(6)
+    world.kill(first)
+    world.wait(0.4)
+    world.newcomer(first)
+
+
+def _back_after_all(world: ReplacingPlatform) -> None:
+    """One that was succeeded comes back with its disk; then its successor is gone for good."""
+    member = world.member(0)
+    world.stop(member)
+    world.wait(1)
+    newcomer = world.newcomer(member)
+    world.wait(6)
+    world.start(member)
+    world.wait(3)
+    world.kill(newcomer)
+    world.expected = world.expected - {newcomer} | {member}
+
+
+ORDERS: dict[str, Callable[[ReplacingPlatform], None]] = {
+    "planned": _planned,
+    "planned, SIGTERM 0.5 s after the newcomer": _planned_in_a_hurry,
+    "planned, and killed": _planned_and_killed,
+    "planned, while another in its zone restarts": _planned_while_another_restarts,
+    "planned, while another in its zone is cut off": _planned_while_another_is_cut_off,
+    "planned, and all lose power in the middle": _planned_and_all_lose_power,
+    "lost, a newcomer at once": _lost(0),
+    "lost, a newcomer 0.4 s later": _lost(0.4),
+    "lost, a newcomer 1 s later": _lost(1),
+    "lost, a newcomer 5 s later": _lost(5),
+    "lost, and its newcomer after it": _newcomer_lost_too,
+    "succeeded, and back after all": _back_after_all,
+    "two lost at once": _two_lost_at_once,
+    "two planned at once": _two_planned_at_once,
+    "two lost, one after the other": _two_lost_in_turn,
+}
+
+
+def play(order: str, members: int, seed: int) -> None:
+    """Replace in that order, settle, and lose as many disks as are borne.
+
+    Which disks follows from the seed.
+
+    Raises:
+        InvariantViolation: what was acknowledged is lost, or the newcomers are not what they should be.
+    """
+    world = ReplacingPlatform(seed, members)
+    ORDERS[order](world)
+    world.check_settled()
+    losses = list(combinations(range(members), world.bear))
+    world.close(losses[seed % len(losses)])
