--- a/tests/gateway/features/steps/replica_set_steps.py
+++ b/tests/gateway/features/steps/replica_set_steps.py
@@ -408,6 +408,13 @@
     context.sets = founded_sets(members, members, spares, succeed=True)
 
 
+@given(
+    "a register of {members:d} members with {spares:d} spares that do not count by the platform's word"
+)
+def _(context: Any, members: int, spares: int) -> None:
+    context.sets = founded_sets(members, members, spares, succeed=True, spares_count=False)
+
+
 @given("the spares of the register stop")
 def _(context: Any) -> None:
     for name in context.sets.names[3:]:
@@ -454,6 +461,30 @@
     cut_off(context, [one, other])
 
 
+@when("member {number:d} of the register is told to end")
+def _(context: Any, number: int) -> None:
+    context.sets.leave(named(context, number))
+
+
+@when("the register is joined again in {ms:d} ms")
+def _(context: Any, ms: int) -> None:
+    context.sets.run(ms * MILLISECOND)
+    context.sets.cut.clear()
+
+
+@when("member {number:d} of the register comes back")
+def _(context: Any, number: int) -> None:
+    world: Sets = context.sets
+    world.cut.clear()
+    if not world.machines[named(context, number)].member:
+        world.start(named(context, number))
+
+
+@then("the register holds all that it told")
+def _(context: Any) -> None:
+    context.sets.check()
+
+
 @when("successors of both start beside the one that is left")
 def _(context: Any) -> None:
     context.sets.run(3000 * MILLISECOND)
--- a/umbermoor/gateway/replication/reconfiguration.py
+++ b/umbermoor/gateway/replication/reconfiguration.py
@@ -1,4 +1,4 @@
-"""Changes of the replica set, ordered by an operator or by the head itself for a lost member.
+"""Changes of the replica set, ordered by an operator or by the head itself for a departed member.
 
 Source: joint consensus, see `replica_set`; what may be refused and why: docs/replication.md. Times
 are microseconds.
@@ -16,8 +16,8 @@
 from umbermoor.gateway.replication.context import Context
 from umbermoor.gateway.replication.heartbeats import Heartbeats
 from umbermoor.gateway.replication.learners import known_zones, ready_learners
-from umbermoor.gateway.replication.peers import Peer
-from umbermoor.gateway.replication.timing import CHANGE_TIMEOUT, SUCCESSION, SUCCESSOR_START_GAP
+from umbermoor.gateway.replication.succession import find_successions
+from umbermoor.gateway.replication.timing import CHANGE_TIMEOUT
 from umbermoor.gateway.replication.view_change import ViewChange
 
 
@@ -30,13 +30,6 @@
     remove: str
 
 
-class _Succession(NamedTuple):
-    """A newcomer, and the member whose place it takes."""
-
-    newcomer: str
-    member: str
-
-
 class Reconfiguration:
     """One change of the replica set at a time."""
 
@@ -166,62 +159,9 @@
     # succession
 
     def _begin_succession(self) -> None:
-        succession = self._find_succession()
-        if not succession or self.plan(*succession).refusal:
-            return
-        until = self._context.now + CHANGE_TIMEOUT
-        self._change = _Change(None, until, succession.newcomer, succession.member)
-
-    def _find_succession(self) -> _Succession | None:
-        """Silence alone takes nobody out.
-
-        The head does it where the platform has put another in that place: a machine that counts, in
-        the same zone, without a disk, started when the chain had long heard nothing of the member:
-        docs/replication.md.
-        """
-        context = self._context
-        member = self._find_missing()
-        if not member:
-            return None
-        peer = context.peers.get(member)
-        heard_at = peer.heard_at if peer else context.started_at  # in this incarnation
-        zone = known_zones(context).get(member)
-        if not zone or context.now - heard_at < SUCCESSION or self._is_heard_by_chain(member):
-            return None
-        for name in ready_learners(context):
-            learner = context.learners.get(name)
-            if learner and _may_succeed(learner, zone, heard_at):
-                return _Succession(name, member)
-        return None
-
-    def _find_missing(self) -> str:
-        """At the head: the one member that is not in the chain; "": there is none."""
-        context, views = self._context, self._context.views
-        sets, chain = context.sets.current, views.active.chain
-        if not views.serving or views.place or len(chain) == len(sets.new):
-            return ""
-        missing = [name for name in sets.members if name not in chain]
-        if len(missing) != 1 or not set(chain) <= set(sets.members):
-            return ""
-        return missing[0]
-
-    def _is_heard_by_chain(self, member: str) -> bool:
-        """Whether one of the chain hears it, or cannot be asked."""
-        context = self._context
-        for name in context.views.active.chain:
-            if name == context.name:
-                continue
-            peer = context.peers.get(name)
-            if peer is None or member in peer.heartbeat.hears:
-                return True
-        return False
-
-
-def _may_succeed(learner: Peer, zone: str, heard_at: int) -> bool:
-    """Whether the platform started it in that zone after a member was last heard there."""
-    heartbeat = learner.heartbeat
-    if not heartbeat.disk_lost or not heartbeat.quorum_member or learner.zone != zone:
-        return False
-    if heartbeat.age is None:
-        return False
-    return learner.heard_at - heartbeat.age > heard_at + SUCCESSOR_START_GAP
+        """Begin the first change that is due for a departed member, and would not be refused."""
+        for succession in find_successions(self._context):
+            if not self.plan(*succession).refusal:
+                until = self._context.now + CHANGE_TIMEOUT
+                self._change = _Change(None, until, succession.newcomer, succession.member)
+                return
--- a/umbermoor/gateway/replication/timing.py
+++ b/umbermoor/gateway/replication/timing.py
@@ -49,6 +49,5 @@
 FETCH_INTERVAL = 1000 * MILLISECOND
 
 # Changes of the replica set.
-SUCCESSION = 2000 * MILLISECOND  # a member unheard for so long may be succeeded
-SUCCESSOR_START_GAP = 800 * MILLISECOND  # by one started longer after the member was last heard
+SUCCESSION = 3000 * MILLISECOND  # a member unheard for longer than any restart may be succeeded
 CHANGE_TIMEOUT = 4000 * MILLISECOND  # a change not active by then is answered UNAVAILABLE
