--- a/umbermoor/gateway/replication/reconfiguration.py
+++ b/umbermoor/gateway/replication/reconfiguration.py
@@ -16,8 +16,8 @@
 from umbermoor.gateway.replication.context import Context
 from umbermoor.gateway.replication.heartbeats import Heartbeats
 from umbermoor.gateway.replication.learners import known_zones, ready_learners
-from umbermoor.gateway.replication.succession import find_successions
-from umbermoor.gateway.replication.timing import CHANGE_TIMEOUT
+from umbermoor.gateway.replication.succession import Succession, find_successions
+from umbermoor.gateway.replication.timing import CHANGE_TIMEOUT, SUCCESSION_STAGGER
 from umbermoor.gateway.replication.view_change import ViewChange
 
 
@@ -36,6 +36,8 @@
     def __init__(self, context: Context, view_change: ViewChange, heartbeats: Heartbeats) -> None:
         self._context, self._view_change, self._heartbeats = context, view_change, heartbeats
         self._change: _Change | None = None
+        self._succession: Succession | None = None  # that is due
+        self._succession_found_at = 0
 
     def change(self, request_id: int, add: str, remove: str, dry_run: bool) -> None:
         """Have the set become another: one more, one fewer, or one in the place of another."""
@@ -159,9 +161,17 @@
     # succession
 
     def _begin_succession(self) -> None:
-        """Begin the first change that is due for a departed member, and would not be refused."""
-        for succession in find_successions(self._context):
-            if not self.plan(*succession).refusal:
-                until = self._context.now + CHANGE_TIMEOUT
-                self._change = _Change(None, until, succession.newcomer, succession.member)
-                return
+        """Begin the first change that is due for a departed member, and would not be refused.
+
+        The head does it at once. One behind it waits, and then knows more than those before it.
+        """
+        context = self._context
+        due = next((one for one in find_successions(context) if not self.plan(*one).refusal), None)
+        if due != self._succession:
+            self._succession, self._succession_found_at = due, context.now
+        if due is None:
+            return
+        patience = context.views.place * SUCCESSION_STAGGER
+        if context.now - self._succession_found_at >= patience:
+            until = context.now + CHANGE_TIMEOUT
+            self._change = _Change(None, until, due.newcomer, due.member)
--- a/umbermoor/gateway/replication/succession.py
+++ b/umbermoor/gateway/replication/succession.py
@@ -21,7 +21,10 @@
 
 
 def find_successions(context: Context) -> Iterator[Succession]:
-    """At the head: the successions that are due, those of members that left in order first."""
+    """At a member of the chain: the successions that are due, as far as it knows the zones.
+
+    Not every member knows where one that is gone ran: not a newcomer, nor one that was filled anew.
+    """
     for member in _departed_members(context):
         for newcomer in _ready_successors(context, member):
             yield Succession(newcomer, member)
@@ -44,7 +47,7 @@
     """
     views, members = context.views, context.sets.current.members
     chain = views.active.chain
-    if not views.serving or views.place or not set(chain) <= set(members):
+    if not views.serving or not set(chain) <= set(members):
         return []
     outside = sorted((name for name in members if name not in chain), key=_heard_at(context))
     left = [name for name in outside if _has_left(context, name)]
--- a/umbermoor/gateway/replication/timing.py
+++ b/umbermoor/gateway/replication/timing.py
@@ -50,4 +50,5 @@
 
 # Changes of the replica set.
 SUCCESSION = 3000 * MILLISECOND  # a member unheard for longer than any restart may be succeeded
+SUCCESSION_STAGGER = 250 * MILLISECOND  # from one of the chain that begins it to the next
 CHANGE_TIMEOUT = 4000 * MILLISECOND  # a change not active by then is answered UNAVAILABLE
