--- a/tests/gateway/features/replica_set.feature
+++ b/tests/gateway/features/replica_set.feature
@@ -260,3 +260,6 @@
       | two lost at once                               | 5       | 6     |
       | two planned at once                            | 5       | 3     |
       | two lost, one after the other                  | 5       | 6     |
+
+  Scenario: One that is told to end, with its successor ready, ends as no member
+    Then each of 6 members that end as planned, among 3 and 5, has left no place open behind it
--- a/tests/gateway/features/steps/replica_set_steps.py
+++ b/tests/gateway/features/steps/replica_set_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from benchmarks.second_loss import second
-from tests.gateway.platform_replacements import ORDERS, play
+from tests.gateway.platform_replacements import ORDERS, ReplacingPlatform, play
 from tests.gateway.replica_set_world import Sets, founded_sets, storm_sets
 from tests.gateway.view_change_model import Broken, Order, Rules, Space
 from umbermoor.gateway.effects import Status
@@ -614,3 +614,23 @@
                 except InvariantViolation as violation:
                     broken.append(f"{row['order']}, {members} members, seed {seed}: {violation}")
     assert not broken, "\n".join(broken)
+
+
+@then(
+    "each of {count:d} members that end as planned, among 3 and 5, has left no place open behind it"
+)
+def _(context: Any, count: int) -> None:
+    for members in (3, 5):
+        for seed in range(count // 2):
+            _end_as_planned(ReplacingPlatform(seed, members))
+
+
+def _end_as_planned(world: ReplacingPlatform) -> None:
+    """Right behind the end of the old process, as many disks are lost as are borne."""
+    old = world.member(0)
+    newcomer = world.newcomer(old)
+    world.wait(6)
+    world.terminate(old)
+    assert world.run(2000 * MILLISECOND, lambda: world.machines[old].member is None)
+    assert newcomer in world.members() and old not in world.members(), world.members()
+    world.close(tuple(range(world.bear)))
--- a/umbermoor/gateway/replication/replica.py
+++ b/umbermoor/gateway/replication/replica.py
@@ -31,6 +31,7 @@
 from umbermoor.gateway.replication.state_transfer import StateTransfer
 from umbermoor.gateway.replication.status import ReplicaStatus, status_of
 from umbermoor.gateway.replication.stored_records import load
+from umbermoor.gateway.replication.succession import has_ready_successor
 from umbermoor.gateway.replication.view import Version
 from umbermoor.gateway.replication.view_activation import ViewActivation
 from umbermoor.gateway.replication.view_change import ViewChange
@@ -292,8 +293,13 @@
 
     @property
     def handed_over(self) -> bool:
-        """Whether it was told to end, and may end without holding up anything."""
-        return self.heartbeats.leaving and health.is_dispensable(self.context)
+        """Whether it was told to end, and may end without holding up anything.
+
+        A member whose successor stands ready waits to be succeeded.
+        """
+        if not self.heartbeats.leaving or has_ready_successor(self.context):
+            return False
+        return health.is_dispensable(self.context)
 
     @property
     def head_decides(self) -> bool:
--- a/umbermoor/gateway/replication/succession.py
+++ b/umbermoor/gateway/replication/succession.py
@@ -30,6 +30,11 @@
             yield Succession(newcomer, member)
 
 
+def has_ready_successor(context: Context) -> bool:
+    """Whether a learner stands ready to take this replica's own place."""
+    return context.is_member and any(_ready_successors(context, context.name))
+
+
 def _ready_successors(context: Context, member: str) -> Iterator[str]:
     """The learners that may take the place of that member, as far as is known here."""
     zones = known_zones(context)
