--- a/tests/gateway/features/distribution.feature
+++ b/tests/gateway/features/distribution.feature
@@ -31,6 +31,7 @@
   Scenario: a subscriber follows the replica set
     Then a subscriber takes a later replica set also from one that was taken out, and no earlier one
     And a subscriber that has received nothing for 11 s asks its seeds again, those named later too
+    And a subscriber asks one for no configuration whose update takes it out of the replica set
 
   Scenario: a change that comes right behind another one is pulled at once
     Given a proxy on loopback before 1 instances
--- a/tests/gateway/features/steps/distribution_steps.py
+++ b/tests/gateway/features/steps/distribution_steps.py
@@ -464,6 +464,15 @@
     assert set(subscriber.sources) == {"g", "h", "i"}
 
 
+@then("a subscriber asks one for no configuration whose update takes it out of the replica set")
+def _(context):
+    subscriber = Subscriber(["a", "b", "c"])
+    later = update(subscriber, 0, "a", everyone=["b", "c", "d"], set=1, revision=5)
+    assert not subscriber.receive_update(0, "a", later).wants_body and "a" not in subscriber.sources
+    assert subscriber.newest_revision == 5
+    assert subscriber.receive_update(1, "b", update(subscriber, 1, "b", revision=5)).wants_body
+
+
 def offer(loopback, number, revision):
     """A controller tells the proxy that it holds a revision; the pulls that it is sent at once."""
     sent = []
--- a/umbermoor/gateway/distribution/subscriber.py
+++ b/umbermoor/gateway/distribution/subscriber.py
@@ -180,7 +180,9 @@
             self.head = update.head
         records = self._take_records(update)
         self.newest_revision = max(self.newest_revision, update.revision)
-        return Update(changed, records, self._wants_body(now, update.revision), confirmed)
+        # One that told that it is no member any more has just been dropped.
+        wants_body = name in self.sources and self._wants_body(now, update.revision)
+        return Update(changed, records, wants_body, confirmed)
 
     def _note_answer(self, now: int, source: Source, update: UpdateMessage) -> bool:
         """Whether the answer proves contact with a majority after it was asked for."""
