--- a/tests/gateway/features/simulation.feature
+++ b/tests/gateway/features/simulation.feature
@@ -13,6 +13,9 @@
   Scenario: Nothing acknowledged is lost with the disks that are to be borne and all power
     Then days 0 to 3 that end with a closing loss violate no invariant
 
+  Scenario: Nor where the platform replaced controllers for good before, in whatever order
+    Then days 0 to 5 on which controllers are replaced violate no invariant
+
   Scenario: Schedules that violated an invariant once do so no more
     Given the kept schedules
     Then no schedule violates an invariant
--- a/tests/gateway/features/steps/replica_set_steps.py
+++ b/tests/gateway/features/steps/replica_set_steps.py
@@ -8,6 +8,7 @@
 from benchmarks.second_loss import second
 from tests.gateway.platform_replacements import ORDERS, ReplacingPlatform, play
 from tests.gateway.replica_set_world import Sets, founded_sets, storm_sets
+from tests.gateway.succession_mutants import MUTANTS
 from tests.gateway.view_change_model import Broken, Order, Rules, Space
 from umbermoor.gateway.effects import Status
 from umbermoor.gateway.replication.codec import encode
@@ -634,3 +635,15 @@
     assert world.run(2000 * MILLISECOND, lambda: world.machines[old].member is None)
     assert newcomer in world.members() and old not in world.members(), world.members()
     world.close(tuple(range(world.bear)))
+
+
+@then("each mutant of the succession breaks its play, and the sound program breaks none")
+def _(context: Any) -> None:
+    for name, mutant in MUTANTS.items():
+        mutant.play()
+        with mutant.patch():
+            try:
+                mutant.play()
+            except (AssertionError, InvariantViolation):
+                continue
+        raise AssertionError(f"nothing shows that {name}")
--- a/tests/gateway/features/steps/simulation_steps.py
+++ b/tests/gateway/features/steps/simulation_steps.py
@@ -7,6 +7,7 @@
 
 from tests.gateway.control import mutants
 from tests.gateway.control.closing_losses import ClosingLossWorld, closing_loss_schedule
+from tests.gateway.control.replacements import ReplacementWorld, replacement_schedule
 from umbermoor.gateway.simulation.control_world import ControlWorld
 from umbermoor.gateway.simulation.schedule import ScheduleSyntaxError, parse
 from umbermoor.gateway.simulation.schedule_generator import draw
@@ -38,6 +39,17 @@
         assert counts["config 200"] > 1 and counts["wiped"], counts
 
 
+@then("days {first:d} to {last:d} on which controllers are replaced violate no invariant")
+def _(context: Any, first: int, last: int) -> None:
+    replaced = 0
+    for seed in range(first, last + 1):
+        world = ReplacementWorld(replacement_schedule(seed)).run()
+        assert world.faults["closing_loss"] == 1, world.faults
+        replaced += world.faults["core_replace"]
+        assert world.counts["wiped"], world.counts
+    assert replaced >= 2 * (last + 1 - first), replaced
+
+
 @then("the schedules had faults, orders and rollouts")
 def _(context: Any) -> None:
     faults = sum((world.faults for world in context.worlds), Counter())
--- a/umbermoor/gateway/replication/timing.py
+++ b/umbermoor/gateway/replication/timing.py
@@ -49,6 +49,6 @@
 FETCH_INTERVAL = 1000 * MILLISECOND
 
 # Changes of the replica set.
-SUCCESSION = 3000 * MILLISECOND  # a member unheard for longer than any restart may be succeeded
+SUCCESSION = 2000 * MILLISECOND  # a member unheard for so long may be succeeded
 SUCCESSION_STAGGER = 250 * MILLISECOND  # from one of the chain that begins it to the next
 CHANGE_TIMEOUT = 4000 * MILLISECOND  # a change not active by then is answered UNAVAILABLE
--- a/umbermoor/gateway/simulation/disturbances.py
+++ b/umbermoor/gateway/simulation/disturbances.py
@@ -45,7 +45,20 @@
 
     def controller_disturbed(self, ip: str) -> None:
         """Something happened to a controller's machine."""
+        self.controllers_at = self._time.now
+        if ip in self._controller_at:  # it was not removed
+            self._controller_at[ip] = self._time.now
+
+    def controller_added(self, ip: str) -> None:
+        """An empty controller is about to start: it counts as lost until it is filled."""
         self.controllers_at = self._controller_at[ip] = self._time.now
+        self.disk_lost(ip)
+
+    def controller_removed(self, ip: str) -> None:
+        """A controller is gone for good, and another one is there in its place."""
+        self.controllers_at = self._time.now
+        del self._controller_at[ip]
+        self._wiped_at.pop(ip, None)
 
     def proxy_disturbed(self, ip: str) -> None:
         """Something happened to a proxy's machine."""
--- a/umbermoor/gateway/simulation/nodes.py
+++ b/umbermoor/gateway/simulation/nodes.py
@@ -39,6 +39,10 @@
         self.incarnation = 0
         self._seeds = tuple(f"{seed}:{CONTROL_PORT}" for seed in seeds)
 
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Tell the programs that start there from now on of these controllers, as ip:port."""
+        self._seeds = seeds
+
     @property
     def running(self) -> bool:
         """Whether a process runs there, frozen or not."""
