--- a/umbermoor/gateway/replication/reconfiguration.py
+++ b/umbermoor/gateway/replication/reconfiguration.py
@@ -30,14 +30,23 @@
     remove: str
 
 
+class RefusedSuccession(NamedTuple):
+    """A succession that would leave too little."""
+
+    succession: Succession
+    reason: str
+
+
 class Reconfiguration:
     """One change of the replica set at a time."""
 
     def __init__(self, context: Context, view_change: ViewChange, heartbeats: Heartbeats) -> None:
         self._context, self._view_change, self._heartbeats = context, view_change, heartbeats
         self._change: _Change | None = None
-        self._succession: Succession | None = None  # that is due
-        self._succession_found_at = 0
+        self._due_succession: Succession | None = None
+        self._due_since = 0
+        self.begun_succession: Succession | None = None  # the last one
+        self.refused_succession: RefusedSuccession | None = None  # one that would be due now
 
     def change(self, request_id: int, add: str, remove: str, dry_run: bool) -> None:
         """Have the set become another: one more, one fewer, or one in the place of another."""
@@ -166,12 +175,22 @@
         The head does it at once. One behind it waits, and then knows more than those before it.
         """
         context = self._context
-        due = next((one for one in find_successions(context) if not self.plan(*one).refusal), None)
-        if due != self._succession:
-            self._succession, self._succession_found_at = due, context.now
+        due = self._find_due_succession()
+        if due != self._due_succession:
+            self._due_succession, self._due_since = due, context.now
         if due is None:
             return
         patience = context.views.place * SUCCESSION_STAGGER
-        if context.now - self._succession_found_at >= patience:
+        if context.now - self._due_since >= patience:
+            self.begun_succession = due
             until = context.now + CHANGE_TIMEOUT
             self._change = _Change(None, until, due.newcomer, due.member)
+
+    def _find_due_succession(self) -> Succession | None:
+        self.refused_succession = None
+        for succession in find_successions(self._context):
+            refusal = self.plan(*succession).refusal
+            if not refusal:
+                return succession
+            self.refused_succession = RefusedSuccession(succession, refusal)
+        return None
--- a/umbermoor/gateway/server/controller.py
+++ b/umbermoor/gateway/server/controller.py
@@ -231,6 +231,8 @@
             Metric("chain_members", len(status.chain)),
             Metric("uncommitted_writes", status.uncommitted),
             Metric("degraded", status.degraded),
+            Metric("members_outside_chain", len(set(status.members) - set(status.chain))),
+            Metric("ready_learners", len(self.replica.learners())),
             Metric("calls_in_flight", self.host.calls_in_flight()),
             Metric("instances", len(self.registry.records)),
             Metric("waiting_pulls", len(self.publisher.pulls.waiting)),
--- a/umbermoor/gateway/server/status_log.py
+++ b/umbermoor/gateway/server/status_log.py
@@ -1,7 +1,9 @@
-"""Logs each change of the replica set and of the view, as this controller sees them."""
+"""Logs each change of the replica set and of the view, and successions, as seen here."""
 
+from umbermoor.gateway.replication.reconfiguration import RefusedSuccession
 from umbermoor.gateway.replication.replica import Replica
 from umbermoor.gateway.replication.status import ReplicaStatus
+from umbermoor.gateway.replication.succession import Succession
 from umbermoor.gateway.server import events
 
 
@@ -12,12 +14,27 @@
         self._replica = replica
         self._logged_set: tuple[object, ...] | None = None
         self._logged_view: tuple[object, ...] | None = None
+        self._logged_begun: Succession | None = None
+        self._logged_refused: RefusedSuccession | None = None
 
     def tick(self) -> None:
         """Logs what changed since the last call."""
         status = self._replica.status()
         self._log_set(status)
         self._log_view(status)
+        self._log_successions()
+
+    def _log_successions(self) -> None:
+        reconfiguration = self._replica.reconfiguration
+        begun, refused = reconfiguration.begun_succession, reconfiguration.refused_succession
+        if begun and begun != self._logged_begun:
+            events.event("succession_begun", member=begun.member, newcomer=begun.newcomer)
+        if refused and refused != self._logged_refused:
+            member, newcomer = refused.succession.member, refused.succession.newcomer
+            events.event(
+                "succession_refused", member=member, newcomer=newcomer, reason=refused.reason
+            )
+        self._logged_begun, self._logged_refused = begun, refused
 
     def _log_set(self, status: ReplicaStatus) -> None:
         current = status.set_number, status.degraded
