--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -1,6 +1,7 @@
 """The processes of a soak: restarted when they end, as a platform does, and disturbed on purpose."""
 
 import asyncio
+import json
 import signal
 import time
 from collections.abc import Sequence
@@ -8,6 +9,7 @@
 
 from benchmarks.soak.records import Records, Span
 from benchmarks.soak.stalls import stalled_s
+from umbermoor.gateway.cli.control_client import ControlClient, ControlResponse
 from umbermoor.gateway.local.gateway import RESTART_DELAY_S, LocalGateway
 from umbermoor.gateway.local.node import CONTROLLER, GRACE_S, PROXY, ZONES, Node, send_signal
 
@@ -74,6 +76,15 @@
             await asyncio.sleep(RESTART_DELAY_S)
             await self.start_node(node, cold=False)
 
+    async def is_in_chain(self, node: Node) -> bool:
+        """Whether a controller says that it is in a chain that serves."""
+        response = await asyncio.to_thread(
+            ControlClient(()).call_once, f"{node.ip}:{self.ports.control}", "GET", "/Status"
+        )
+        if not isinstance(response, ControlResponse) or not response.succeeded:
+            return False
+        return node.ip in json.loads(response.body)["chain"]
+
     async def terminate(self, node: Node) -> None:
         """SIGTERM, and SIGKILL where the grace is over, as the platform does."""
         process, now = node.running_process, time.monotonic()
