--- a/umbermoor/gateway/server/replica_host.py
+++ b/umbermoor/gateway/server/replica_host.py
@@ -62,6 +62,7 @@
         """
         self.replica, self.store, self._transport, self._clock = replica, store, transport, clock
         self.disk = ThreadPoolExecutor(1)
+        self._closed = False
         self.channel = DeltaChannel()
         if configuration := replica.stored(CONFIG_KEY):
             self.channel.codec.texts.add(configuration["text"])
@@ -148,6 +149,8 @@
             future.set_result(result)
 
     def _write(self, write: Write) -> None:
+        if self._closed:  # a message came behind the end; nothing is told that is not written
+            return
         writing = asyncio.get_running_loop().run_in_executor(
             self.disk, self.store.write, write.puts
         )
@@ -165,5 +168,6 @@
         self.carry_out(self.replica.write_failed(self._clock(), token))
 
     def close(self) -> None:
-        """Waits for the write in progress, and ends the disk's thread."""
+        """Waits for the write in progress, and ends the disk's thread; later writes are dropped."""
+        self._closed = True
         self.disk.shutdown()
