--- a/umbermoor/gateway/replication/acceptor.py
+++ b/umbermoor/gateway/replication/acceptor.py
@@ -101,7 +101,7 @@
             context.outbox.send(sender, Refused(epoch, least))
             return
         replica_set = message.replica_set or context.sets.current
-        if not self._may_accept() or not self._is_sound(message, replica_set):
+        if not self._may_accept(replica_set) or not self._is_sound(message, replica_set):
             return
         state = message.state
         if state is None:
@@ -114,9 +114,17 @@
         floor = self._transfer.promise_floor + 1 if self._context.lifecycle.disk_lost else 0
         return max(self._context.views.promise, floor)
 
-    def _may_accept(self) -> bool:
+    def _may_accept(self, replica_set: ReplicaSet) -> bool:
+        """Whether this replica has its disk, or knows what was promised on the one it lost.
+
+        They must be of the set that the view follows, as the lost promises counted there: who knows
+        an older set asked others.
+        """
         lifecycle = self._context.lifecycle
-        return self._transfer.ready_to_fill if lifecycle.disk_lost else lifecycle.settled
+        if not lifecycle.disk_lost:
+            return lifecycle.settled
+        has_asked_them = replica_set.old == self._context.sets.current.new
+        return self._transfer.ready_to_fill and has_asked_them
 
     def _is_sound(self, message: NewView, replica_set: ReplicaSet) -> bool:
         """Whether the view is newer, and its chain a majority of that set of this system."""
