--- a/tests/gateway/replica_set_world.py
+++ b/tests/gateway/replica_set_world.py
@@ -90,6 +90,17 @@
                     )
                 self.newest = epoch, sets
 
+    def named(self, number: int) -> str:
+        """The machine of that number, from 1 on: the first members, then the spares."""
+        return self.names[number - 1]
+
+    def cut_off(self, *numbers: int) -> None:
+        """Those reach each other and nobody else."""
+        apart = {self.named(number) for number in numbers}
+        for one in apart:
+            for other in set(self.names) - apart:
+                self.cut |= {(one, other), (other, one)}
+
     # who counts
 
     def counting(self) -> set[str]:
