--- a/tests/gateway/features/succession.feature
+++ b/tests/gateway/features/succession.feature
@@ -84,6 +84,7 @@
       | lost, a newcomer 1 s later                     | 3, 5    | 2     |
       | lost, a newcomer 5 s later                     | 3, 5    | 2     |
       | lost, and its newcomer after it                | 3, 5    | 2     |
+      | lost, and its newcomer as a new member         | 3, 5    | 4     |
       | succeeded, and back after all                  | 3, 5    | 2     |
       | two lost at once                               | 5       | 6     |
       | two planned at once                            | 5       | 3     |
--- a/tests/gateway/platform_replacements.py
+++ b/tests/gateway/platform_replacements.py
@@ -194,6 +194,21 @@
     world.newcomer(first)
 
 
+def _newcomer_lost_as_a_new_member(world: ReplacingPlatform) -> None:
+    """It has just become a member when all lose power, and does not come back."""
+    world.kill(world.member(0))
+    world.wait(1)
+    first = world.newcomer(world.member(0))
+    world.run(4 * SECOND, lambda: first in world.members())
+    world.gone.add(first)
+    for name in world.names:
+        world.stop(name)
+    world.run(800 * MILLISECOND)
+    world.start_all(cold=False)
+    world.wait(1)
+    world.newcomer(first)
+
+
 def _back_after_all(world: ReplacingPlatform) -> None:
     """One that was succeeded comes back with its disk; then its successor is gone for good."""
     member = world.member(0)
@@ -219,6 +234,7 @@
     "lost, a newcomer 1 s later": _lost(1),
     "lost, a newcomer 5 s later": _lost(5),
     "lost, and its newcomer after it": _newcomer_lost_too,
+    "lost, and its newcomer as a new member": _newcomer_lost_as_a_new_member,
     "succeeded, and back after all": _back_after_all,
     "two lost at once": _two_lost_at_once,
     "two planned at once": _two_planned_at_once,
--- a/umbermoor/gateway/replication/acceptor.py
+++ b/umbermoor/gateway/replication/acceptor.py
@@ -13,6 +13,7 @@
 from umbermoor.gateway.replication.chain import Chain
 from umbermoor.gateway.replication.context import Context
 from umbermoor.gateway.replication.head import Head
+from umbermoor.gateway.replication.learners import zones_of_others
 from umbermoor.gateway.replication.messages import Accepted, NewView, Prepare, Promised, Refused
 from umbermoor.gateway.replication.reads import Reads
 from umbermoor.gateway.replication.replica_set import ReplicaSet
@@ -148,6 +149,8 @@
         context.views.accept(view)
         context.map.begin_view(state)
         context.sets.accept(view, replica_set)
+        if replica_set.is_joint:  # a newcomer may be gone before it tells its zone as a member
+            context.sets.note_zones(zones_of_others(context))
         records |= context.sets.records()
         context.views.restart_silence(context.now)
         self._triggers.reset()
--- a/umbermoor/gateway/replication/heartbeats.py
+++ b/umbermoor/gateway/replication/heartbeats.py
@@ -8,7 +8,7 @@
 
 from umbermoor.gateway.replication.chain import Chain
 from umbermoor.gateway.replication.context import Context
-from umbermoor.gateway.replication.learners import known_zones
+from umbermoor.gateway.replication.learners import zones_of_others
 from umbermoor.gateway.replication.messages import Heartbeat, HeartbeatId
 from umbermoor.gateway.replication.peers import Exclusions
 from umbermoor.gateway.replication.replica_set import EpochSet, founded
@@ -144,9 +144,7 @@
     def _learn_from_member(self, sender: str, heartbeat: Heartbeat) -> None:
         context = self._context
         if heartbeat.zone is not None and context.is_member:
-            zones = known_zones(context)
-            kept = {name: zones[name] for name in context.others() if zones.get(name)}
-            context.sets.remember_zones(kept)
+            context.sets.remember_zones(zones_of_others(context))
         peer = context.peers.get(sender)
         if peer and peer.heartbeat is heartbeat:  # it was not outdated
             incarnation = context.identity.incarnation
--- a/umbermoor/gateway/replication/learners.py
+++ b/umbermoor/gateway/replication/learners.py
@@ -15,6 +15,12 @@
     return context.sets.zones | zones | {context.name: context.identity.zone}
 
 
+def zones_of_others(context: Context) -> dict[str, str]:
+    """Where the other members run, as far as it is known here."""
+    zones = known_zones(context)
+    return {name: zones[name] for name in context.others() if zones.get(name)}
+
+
 def ready_learners(context: Context) -> list[str]:
     """Those that could be taken in now, sorted.
 
--- a/umbermoor/gateway/replication/set_state.py
+++ b/umbermoor/gateway/replication/set_state.py
@@ -89,11 +89,14 @@
         One that is gone may then be succeeded in its zone, also after a restart of those who heard
         it.
         """
-        if zones == self.zones:
-            return
-        self.zones = dict(zones)
-        if self._has_disk():
+        if self.note_zones(zones) and self._has_disk():
             self._disk.enqueue(zones_record(self.zones), "zones", do_nothing)
 
+    def note_zones(self, zones: Mapping[str, str]) -> bool:
+        """The same, where `records` are to be written anyway; whether they differ from before."""
+        is_other = zones != self.zones
+        self.zones = dict(zones)
+        return is_other
+
     def _has_disk(self) -> bool:
         return not self._lifecycle.disk_lost and self._lifecycle.settled
