--- a/umbermoor/gateway/replication/acceptor.py
+++ b/umbermoor/gateway/replication/acceptor.py
@@ -149,7 +149,7 @@
         context.views.accept(view)
         context.map.begin_view(state)
         context.sets.accept(view, replica_set)
-        if replica_set.is_joint:  # a newcomer may be gone before it tells its zone as a member
+        if replica_set.is_replacement:  # the newcomer may be gone before it tells its zone again
             context.sets.note_zones(zones_of_others(context))
         records |= context.sets.records()
         context.views.restart_silence(context.now)
--- a/umbermoor/gateway/replication/replica_set.py
+++ b/umbermoor/gateway/replication/replica_set.py
@@ -52,6 +52,17 @@
         """Whether a change is under way."""
         return self.old != self.new
 
+    @property
+    def is_replacement(self) -> bool:
+        """Whether a change is under way in which one enters and another leaves.
+
+        >>> three = founded(["a", "b", "c"], 7)
+        >>> three.changed("d", "a").is_replacement, three.changed("d").is_replacement
+        (True, False)
+        """
+        before, after = {name for name, _ in self.old}, {name for name, _ in self.new}
+        return bool(before - after and after - before)
+
     def rank(self, name: str) -> int:
         """That member's rank."""
         return dict((*self.old, *self.new))[name]
