--- a/tests/gateway/control/mutants.py
+++ b/tests/gateway/control/mutants.py
@@ -14,13 +14,19 @@
 
 from umbermoor.gateway.api.http_api import ApiResponse, api_call, error_response
 from umbermoor.gateway.balancing.instances import Instances
-from umbermoor.gateway.discovery.registry import DRAINING
+from umbermoor.gateway.discovery.registry import (
+    DRAINING,
+    GONE,
+    InstanceRecord,
+    InstanceRegistry,
+)
 from umbermoor.gateway.distribution.subscriber import Subscriber
 from umbermoor.gateway.replication.replica_set import ReplicaSet
 from umbermoor.gateway.rollout.coordinator import RolloutCoordinator
 from umbermoor.gateway.server import configuration_calls
 from umbermoor.gateway.server.configuration_calls import ConfigurationCalls
 from umbermoor.gateway.server.controller_link import ControllerLink
+from umbermoor.gateway.server.instance_replication import InstanceReplication
 from umbermoor.gateway.server.replica_host import ReplicaHost
 from umbermoor.gateway.simulation.control_world import ControlWorld
 from umbermoor.gateway.simulation.schedule import Schedule, parse
@@ -110,6 +116,18 @@
     return _update(self, now, [entry for entry in entries if entry.state != DRAINING])
 
 
+def _hold_departures_in_memory(
+    self: InstanceReplication, record: InstanceRecord, callback: Callable[[], None]
+) -> None:
+    """Acknowledge departures before they are on disk."""
+    callback()
+
+
+def _forget_departed(self: InstanceRegistry) -> list[list[Any]]:
+    """Leave the instances that are gone out of the snapshot."""
+    return [record.to_wire() for record in self.records.values() if record.state != GONE]
+
+
 def _accept_stale_configurations() -> AbstractContextManager[Any]:
     return _all(
         patch.object(ControllerLink, "take_configuration", _take_any_configuration),
@@ -197,6 +215,14 @@
         lambda: patch.object(Instances, "update", _keep_draining),
         {Invariant.DRAINING_USED, Invariant.PROXY_WENT_BACK},
     ),
+    "departures are acknowledged from memory": Mutant(
+        lambda: patch.object(InstanceReplication, "when_held", _hold_departures_in_memory),
+        {Invariant.DRAINING_USED},
+    ),
+    "departed instances are not stored": Mutant(
+        lambda: patch.object(InstanceRegistry, "snapshot", _forget_departed),
+        {Invariant.DRAINING_USED},
+    ),
     "a bad version is not reverted": Mutant(
         lambda: patch.object(RolloutCoordinator, "tick", _never_revert),
         {Invariant.ROLLOUT_EXPOSURE},
--- a/tests/gateway/features/steps/simulation_steps.py
+++ b/tests/gateway/features/steps/simulation_steps.py
@@ -9,6 +9,7 @@
 from tests.gateway.control.closing_losses import ClosingLossWorld, closing_loss_schedule
 from tests.gateway.control.replacements import ReplacementWorld, replacement_schedule
 from umbermoor.gateway.simulation.control_world import ControlWorld
+from umbermoor.gateway.simulation.departure_schedules import departure_schedule
 from umbermoor.gateway.simulation.schedule import ScheduleSyntaxError, parse
 from umbermoor.gateway.simulation.schedule_generator import draw
 from umbermoor.gateway.simulation.shrinking import shrink
@@ -19,6 +20,11 @@
     context.schedules = [draw(seed) for seed in range(first, last + 1)]
 
 
+@given("departure seeds {first:d} to {last:d}")
+def _(context: Any, first: int, last: int) -> None:
+    context.schedules = [departure_schedule(seed) for seed in range(first, last + 1)]
+
+
 @given("the regression schedules")
 def _(context: Any) -> None:
     context.schedules = mutants.regression_schedules()
--- a/umbermoor/gateway/discovery/registry.py
+++ b/umbermoor/gateway/discovery/registry.py
@@ -41,6 +41,11 @@
     warmup_us: int  # remaining warm-up time when this sample was sent
     sample: int  # sequence number that rises with each heartbeat
 
+    @property
+    def is_departing(self) -> bool:
+        """Whether the instance drains or has left; neither is ever withdrawn."""
+        return self.state >= DRAINING
+
     def to_wire(self) -> list[Any]:
         """Return the record in the form that controllers send to each other and to proxies."""
         return [
@@ -143,6 +148,8 @@
         self.sequence = self.urgent_sequence = self.durable_sequence = 0
         self.records: dict[str, InstanceRecord] = {}
         self._sequences: dict[str, int] = {}  # sequence number of each record's last change
+        # Sequence number of the last change of each record that should survive a restart
+        self._durable_sequences: dict[str, int] = {}
         self._changed_at: dict[str, int] = {}  # when each record last changed in this registry (us)
         self._connected_since: int | None = None
 
@@ -161,14 +168,20 @@
             merged.service,
         ):
             self.urgent_sequence = self.durable_sequence = self.sequence
+            self._durable_sequences[record.id] = self.sequence
         return True
 
     def snapshot(self) -> list[list[Any]]:
-        """Return the records that a restarted controller begins with: those that are not gone.
+        """Return the records that a restarted controller begins with.
 
-        Heartbeats correct whatever has changed since the snapshot.
+        Heartbeats correct what has changed since about an instance that still sends them. One that
+        has left sends none, so its tombstone is part of the snapshot.
         """
-        return [record.to_wire() for record in self.records.values() if record.state != GONE]
+        return [record.to_wire() for record in self.records.values()]
+
+    def durable_sequence_of(self, id: str) -> int | None:
+        """Return the number of an instance's last durable change; None if it has no record."""
+        return self._durable_sequences.get(id)
 
     def mark_gone(self, now: int, id: str) -> InstanceRecord:
         """Record that an instance announced its departure; return the record to publish."""
@@ -216,6 +229,7 @@
 
     def _forget(self, id: str) -> None:
         del self.records[id], self._sequences[id], self._changed_at[id]
+        del self._durable_sequences[id]
 
 
 def merge_records(
--- a/umbermoor/gateway/server/controller.py
+++ b/umbermoor/gateway/server/controller.py
@@ -117,7 +117,7 @@
         self.snapshot = RegistrySnapshot(self.registry, self.host)
         self.sweep = StoreSweep(self.host, self.snapshot, self.transport, clock, self._store_lost)
         self.publisher = UpdatePublisher(self.registry, self.host, rng, clock)
-        self.replication = InstanceReplication(self.host, self.transport)
+        self.replication = InstanceReplication(self.host, self.transport, self.snapshot)
         self.peers = self._make_peers()
         self.status_log = StatusLog(self.replica)
 
@@ -243,6 +243,7 @@
             Metric("waiting_pulls", len(self.publisher.pulls.waiting)),
             Metric("store_bytes", store.used()),
             Metric("store_full", store.full),
+            Metric("departures_unsynced", self.snapshot.waiting),
             Metric("records_repaired_total", self.sweep.repaired),
             *labelled("invariant_violations_total", "invariant", self.invariants.counts()),
         ]
--- a/umbermoor/gateway/server/heartbeat_calls.py
+++ b/umbermoor/gateway/server/heartbeat_calls.py
@@ -17,8 +17,8 @@
     """HTTP handlers for heartbeats and departures of instances.
 
     The first heartbeat of an instance, a heartbeat that reports draining and a leave are answered
-    once a majority of the controllers stores them. Other heartbeats are answered at once, since the
-    next one repeats them.
+    once a majority of the controllers holds them, the last two on disk. Other heartbeats are
+    answered at once, since the next one repeats them.
     """
 
     def __init__(
--- a/umbermoor/gateway/server/peer_messages.py
+++ b/umbermoor/gateway/server/peer_messages.py
@@ -84,7 +84,8 @@
         record = record_from_wire(message.get("entry"))
         if record is not None:
             self._observe([record])
-            connection.send(encode_frame({"kind": "heard", "number": message.get("number")}))
+            answer = encode_frame({"kind": "heard", "number": message.get("number")})
+            self._replication.when_held(record, lambda: connection.send(answer))
 
     def _receive_acknowledgement(self, connection: PeerConnection, message: Message) -> None:
         self._replication.acknowledge(connection.peer, message.get("number"))
--- a/umbermoor/gateway/server/replica_host.py
+++ b/umbermoor/gateway/server/replica_host.py
@@ -159,6 +159,16 @@
             lambda written: self._write_ended(write.token, written.result())
         )
 
+    def write_beside(self, puts: dict[str, bytes | None]) -> "asyncio.Future[bool] | None":
+        """Write records that are not the replica's; return whether they were synced, in a future.
+
+        Returns None after `close`.
+        """
+        if self._closed:
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.run_in_executor(self.disk, self.store.write, puts)
+
     def _write_ended(self, token: int, synced: bool) -> None:
         if synced:
             self.carry_out(self.replica.written(self._clock(), token))
--- a/umbermoor/gateway/simulation/invariants.py
+++ b/umbermoor/gateway/simulation/invariants.py
@@ -115,6 +115,7 @@
         """
         for node in self._world.proxies.values():
             self.counts["left and still listed"] += sum(
-                instance.leave_acknowledged and observations.lists_instance(node, instance.id)
+                instance.leave_acknowledged_at is not None
+                and observations.lists_instance(node, instance.id)
                 for instance in self._world.instances.all
             )
--- a/umbermoor/gateway/simulation/schedule.py
+++ b/umbermoor/gateway/simulation/schedule.py
@@ -25,6 +25,7 @@
     "retryRatio": 0.2,
 }
 
+LEAVES_FIRST = "leave"  # the `how` of a leave without draining before it
 COMMENT = "#"
 HEADER = "day"
 # Keys of the first line, and the names of the `Schedule` fields that they set
