--- a/benchmarks/capacity/measures.py
+++ b/benchmarks/capacity/measures.py
@@ -37,7 +37,7 @@
 from umbermoor.gateway.rollout.admission import first_record, order_request
 from umbermoor.gateway.rollout.coordinator import RolloutCoordinator
 from umbermoor.gateway.rollout.observer import RolloutObserver
-from umbermoor.gateway.rollout.records import ROLLOUT_KEY_PREFIX
+from umbermoor.gateway.rollout.records import ROLLOUT_KEY_PREFIX, AttemptResult
 from umbermoor.gateway.routing.route_table import RouteTable
 from umbermoor.gateway.server.http_messages import request_bytes, response_bytes
 from umbermoor.gateway.server.peer_transport import encode_frame
@@ -521,7 +521,14 @@
         instance.load_reported(now, answer.headers["x-load-level"])
         instances.responded(now, instance, 30_000)
         observer.attempt_ended(
-            now, service, "v1", instance.id, instance.listed_at, True, False, False
+            now,
+            service,
+            "v1",
+            instance.id,
+            instance.listed_at,
+            True,
+            AttemptResult.SUCCESS,
+            False,
         )
         lifecycle.attempt_ended(1, AttemptOutcome.COMPLETE, answer)
         assert isinstance(lifecycle.next_step(now), Relay)
--- a/tests/gateway/compatibility/generate.py
+++ b/tests/gateway/compatibility/generate.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from recording import Revision, Samples, record_datagrams, record_day
+from recording import Revision, record_datagrams, record_day, write_samples
 
 FIXTURES = Path(__file__).parents[1] / "fixtures"
 
@@ -38,18 +38,6 @@
     return Revision(play, End, Disk, Sonde, Sonde.heard_of, Sonde.datagram, Sonde.tick, Sonde.leave)
 
 
-def write_samples(folder: Path, samples: Samples) -> dict[str, Any]:
-    """Write a file for each kind with its items in order; return the entry for the index."""
-    folder.mkdir(parents=True, exist_ok=True)
-    for kind, items in samples.by_kind.items():
-        (folder / f"{kind}.bin").write_bytes(b"".join(items))
-    return {
-        "count": samples.count,
-        "sha256": samples.digest.hexdigest(),
-        "sizes": {kind: [len(item) for item in items] for kind, items in samples.by_kind.items()},
-    }
-
-
 def main() -> int:
     """Write all fixtures that are recorded from simulations."""
     revision = revision_496b6e6()
--- a/tests/gateway/compatibility/recording.py
+++ b/tests/gateway/compatibility/recording.py
@@ -11,6 +11,7 @@
 import zlib
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 from unittest.mock import patch
 
@@ -222,3 +223,15 @@
     """Return the member states that a datagram reports, as a text."""
     states = {data[at] for at in range(NEWS_OFFSET, len(data) - CHECKSUM_SIZE, NEWS_SIZE)}
     return ",".join(map(str, sorted(states)))
+
+
+def write_samples(folder: Path, samples: Samples) -> dict[str, Any]:
+    """Write a file for each kind with its items in order; return the entry for the index."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for kind, items in samples.by_kind.items():
+        (folder / f"{kind}.bin").write_bytes(b"".join(items))
+    return {
+        "count": samples.count,
+        "sha256": samples.digest.hexdigest(),
+        "sizes": {kind: [len(item) for item in items] for kind, items in samples.by_kind.items()},
+    }
--- a/tests/gateway/features/rollout.feature
+++ b/tests/gateway/features/rollout.feature
@@ -16,6 +16,38 @@
       | late       | 0     | 1    |
       | at_the_end | 0     | 1    |
 
+  # Guards against docs/incidents/review-2-exposure.md: a version that failed few of its requests settled.
+  Scenario Outline: A version that is bad in few of its answers is reverted within its exposure limit too
+    Given a simulated rollout in which <dose> of the answers are <kind>, with seeds <first> to <last>
+    Then the rollout is reverted by the end of its ramp in each simulation
+    And the rollout kept its exposure limit in each simulation
+    And the rollout sent no attempt to the version later than 5 s after the 50th bad response
+
+    Examples:
+      | kind       | dose | first | last |
+      | errors     | 0.05 | 0     | 2    |
+      | errors     | 0.1  | 0     | 1    |
+      | slow       | 0.2  | 0     | 1    |
+      | under_load | 0.2  | 0     | 1    |
+      | one_class  | 0.2  | 0     | 1    |
+      | late       | 0.1  | 0     | 1    |
+
+  Scenario: A version that fails three answers in a hundred is reverted where others never fail
+    Given a simulated rollout at 150 requests/s in which only 0.03 of the answers are errors, with seeds 0 to 3
+    Then the rollout is reverted by the end of its ramp in each simulation
+    And the rollout kept its exposure limit in each simulation
+
+  Scenario Outline: A good version settles though both versions fail the same share of their requests
+    Given a simulated rollout in which <dose> of the answers are good_shared, with seeds <first> to <last>
+    Then the rollout is settled by the end of its ramp in each simulation
+    And the rollout left no attempts at the old instances
+
+    Examples:
+      | dose | first | last |
+      | 0.02 | 0     | 2    |
+      | 0.1  | 0     | 1    |
+      | 0.3  | 0     | 1    |
+
   Scenario Outline: A good version is settled, and the old instances have no attempts left
     Given a rollout of a version that is <kind>, simulated with seeds <first> to <last>
     Then the rollout is settled by the end of its ramp in each simulation
--- a/umbermoor/gateway/rollout/__init__.py
+++ b/umbermoor/gateway/rollout/__init__.py
@@ -12,6 +12,7 @@
 E. Feit, R. Berman, "Test & Roll: Profit-Maximizing A/B Tests", 2019.
 
     >>> from umbermoor.gateway.rollout.admission import first_record, order_request
+    >>> from umbermoor.gateway.rollout.records import AttemptResult
     >>> def play(bad: bool) -> tuple[str, float, float]:
     ...     proxy, controller, sent, requests = RolloutObserver(), RolloutCoordinator(), 0, 0
     ...     instances = [(f"i-{i}", "v1" if i < 4 else "v2", 0) for i in range(8)]
@@ -28,8 +29,9 @@
     ...             proxy.attempt_sent(now, "maps", version)
     ...             trial = proxy.trial_instances(now, "maps")
     ...             instance = trial[0] if version == "v2" else "i-1"
-    ...             failed = bad and version == "v2" and requests % 2 == 0
-    ...             proxy.attempt_ended(now, "maps", version, instance, 0, True, failed, False)
+    ...             fails = bad and version == "v2" and requests % 2 == 0
+    ...             result = AttemptResult.ERROR_RESPONSE if fails else AttemptResult.SUCCESS
+    ...             proxy.attempt_ended(now, "maps", version, instance, 0, True, result, False)
     ...             sent += version == "v2"
     ...         for report in proxy.reports(now):
     ...             controller.receive_report(now, "proxy-1", report)
--- a/umbermoor/gateway/rollout/coordinator.py
+++ b/umbermoor/gateway/rollout/coordinator.py
@@ -1,30 +1,41 @@
 """The controller's side of rollouts: pools the proxies' reports and decides the next step.
 
-A single proxy's vote never changes the stage: `cusum` tests the pooled outcomes of all proxies. To
-advance, the next stage's start time must also have come, most proxies must act by the current
-stage, and the proxies' votes must not oppose the step.
+A single proxy's vote never changes the stage: `cusum` tests the pooled outcomes of all proxies, and
+`responses` their complete responses. To advance, the next stage's start time must also have come,
+most proxies must act by the current stage, and the proxies' votes must not oppose the step.
 
 Times are whole microseconds, unless a name says seconds.
 """
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from math import log
 
-from umbermoor.gateway.rollout.cusum import ALARM_THRESHOLD, MAX_ADVANCE_EVIDENCE, SequentialTest
+from umbermoor.gateway.rollout.cusum import (
+    ALARM_THRESHOLD,
+    MAX_ADVANCE_EVIDENCE,
+    Evidence,
+    SequentialTest,
+)
 from umbermoor.gateway.rollout.judgement import MIN_OUTCOMES
 from umbermoor.gateway.rollout.records import (
+    BaselineShares,
     OutcomeCounts,
     ProxyReport,
     RecordChanges,
     RecordDocument,
     ReportDocument,
+    ResponseCounts,
     RolloutRecord,
+    VersionResponses,
     Vote,
     advanced_to,
+    advanced_to_last,
     reverted,
     settled,
     supersedes,
 )
+from umbermoor.gateway.rollout.responses import ResponseTest
 from umbermoor.gateway.rollout.stages import FINAL_STAGE, STAGE_STARTS
 from umbermoor.gateway.units import SECOND
 
@@ -39,6 +50,19 @@
 """Each stage lasts at least this fraction of the ramp time."""
 VOTE_WAIT_SHARE = 0.04
 """Adverse votes delay the next stage by at most this fraction of the ramp time."""
+TRIAL_REVERT_EVIDENCE = log(1000)
+"""Evidence of more bad outcomes or error responses that reverts the rollout at the trial stage."""
+REVERT_EVIDENCE = log(200)
+"""Such evidence that reverts it later, or when a stage is to begin or the rollout to be settled."""
+HOLD_EVIDENCE = log(3)
+"""Such evidence that delays the next stage."""
+HOLD_SHARE = 0.06
+"""It delays the next stage by at most this fraction of the ramp time."""
+MIN_SETTLE_SHARE = 0.86
+"""The rollout is settled this fraction of the ramp time after the order, or later.
+
+Nobody watches the new version after that.
+"""
 RENEW_INTERVAL = SECOND
 """Without other changes, the record is written this often to store its elapsed time."""
 REWRITE_INTERVAL = 3 * SECOND // 10
@@ -70,9 +94,26 @@
     reports: dict[str, _ReceivedReport] = field(default_factory=dict)
     """The last report of each proxy."""
     test: SequentialTest = field(default_factory=SequentialTest)
+    responses: ResponseTest = field(default_factory=ResponseTest)
     previous_idle_since: int | None = None
     """Since when no proxy has attempts at the previous version; None if one has."""
 
+    def baseline_shares(self) -> BaselineShares:
+        """Return the earlier version's shares of bad outcomes now."""
+        return BaselineShares(
+            self.test.baseline.final_estimate(),
+            self.responses.errors.baseline.final_estimate(),
+            self.responses.errors_or_late.baseline.final_estimate(),
+        )
+
+    def apply_baseline_shares(self) -> None:
+        """Use the shares in the record, if there are any, from now on."""
+        shares = BaselineShares.read(self.record.document)
+        if shares is not None:
+            self.test.baseline.final_share = shares.bad_outcomes
+            self.responses.errors.baseline.final_share = shares.error_responses
+            self.responses.errors_or_late.baseline.final_share = shares.bad_responses
+
     def elapsed_seconds(self, now: int) -> float:
         """Return the seconds since the order."""
         return self.record.elapsed_seconds + (now - self.recorded_at) / SECOND
@@ -95,6 +136,7 @@
         if earlier is not None and (
             report.trial.total < earlier.trial.total
             or report.baseline.total < earlier.baseline.total
+            or report.responses.baseline.total < earlier.responses.baseline.total
         ):
             return
         if proxy not in self.reports and len(self.reports) >= MAX_PROXIES:
@@ -121,12 +163,32 @@
         test.trial.add_difference(report.trial, trial)
         test.previous.add_difference(report.baseline, previous)
         test.baseline.add(
-            now, report.baseline.total - previous.total, report.baseline.good - previous.good
+            now,
+            report.baseline.total - previous.total,
+            report.baseline.bad - previous.bad,
+            earlier is None,
         )
         for instance, (outcomes, bad) in report.by_instance.items():
             outcomes_before, bad_before = by_instance.get(instance, (0, 0))
             if outcomes > outcomes_before:
-                test.add_pending(now, proxy, instance, outcomes - outcomes_before, bad - bad_before)
+                test.add_pending(
+                    now,
+                    proxy,
+                    instance,
+                    outcomes - outcomes_before,
+                    bad - bad_before,
+                    earlier is None,
+                )
+        self._count_responses(now, earlier, report)
+
+    def _count_responses(self, now: int, earlier: ProxyReport | None, report: ProxyReport) -> None:
+        responses, none = report.responses, VersionResponses({}, ResponseCounts())
+        before = earlier.responses if earlier is not None else none
+        is_backlog = earlier is None
+        self.responses.add_baseline(now, responses.baseline.since(before.baseline), is_backlog)
+        for instance, counts in responses.trial.items():
+            counts_before = before.trial.get(instance, none.baseline)
+            self.responses.add_trial(now, instance, counts.since(counts_before), is_backlog)
 
     def recent_reports(self, now: int) -> list[ProxyReport]:
         """Return the last reports of the proxies that reported within REPORT_TIMEOUT."""
@@ -157,9 +219,10 @@
             return
         record = RolloutRecord.read(document)
         if progress is None or record.order != progress.record.order:
-            self.orders[service] = OrderProgress(record, now, now)
+            progress = self.orders[service] = OrderProgress(record, now, now)
         else:
             progress.update(now, record)
+        progress.apply_baseline_shares()
 
     def receive_report(self, now: int, proxy: str, document: ReportDocument) -> None:
         """Receive a proxy's report; a report on an unknown order is ignored.
@@ -203,36 +266,92 @@
     )
 
 
-def _next_changes(now: int, progress: OrderProgress) -> RecordChanges:
-    """Return the changes due in the record now; empty if there are none."""
-    stage, test = progress.record.stage, progress.test
+@dataclass(frozen=True, slots=True)
+class _Judgement:
+    """What the outcomes and the votes say about the new version now."""
+
+    reports: list[ProxyReport]
+    """Of the proxies that reported recently."""
+    evidence: Evidence
+    excess: float
+    """The evidence in the number of bad responses."""
+    has_too_many_bad: bool
+    trails: bool
+    """Whether it is worse by Test & Roll."""
+    reverts: int
+    advances: int
+    """Votes of the proxies."""
+    counts: str
+    """The outcomes of both versions, for logs."""
+
+
+def _judge(now: int, progress: OrderProgress) -> _Judgement:
+    """Evaluate the reported outcomes."""
+    test, responses = progress.test, progress.responses
     reports = progress.recent_reports(now)
     instances = max((report.warm_instances for report in reports), default=1)
-    test.evaluate_pending(now, no_baseline=stage == FINAL_STAGE)
-    evidence = test.evidence(instances, len(reports))
-    counts = f"{test.trial.to_json()}, before {test.previous.to_json()}"
-    if evidence.against >= ALARM_THRESHOLD:
-        return reverted(f"bad answers: {counts}")
+    no_baseline = progress.record.stage == FINAL_STAGE
+    test.evaluate_pending(now, no_baseline)
+    responses.evaluate_pending(now, no_baseline)
     votes = [report.vote for report in reports]
-    reverts, advances = votes.count(Vote.REVERT), votes.count(Vote.ADVANCE)
-    trails = test.trails(instances, len(reports))
-    if trails and reverts >= 2 and reverts > advances:
-        return reverted(f"votes: {reverts} back, {advances} on")
+    return _Judgement(
+        reports,
+        test.evidence(instances, len(reports)),
+        responses.evidence(instances),
+        test.exceeds_bad_answers(instances, len(reports)),
+        test.trails(instances, len(reports)),
+        votes.count(Vote.REVERT),
+        votes.count(Vote.ADVANCE),
+        f"{test.trial.to_json()}, before {test.previous.to_json()}",
+    )
+
+
+def _next_changes(now: int, progress: OrderProgress) -> RecordChanges:
+    """Return the changes due in the record now; empty if there are none."""
+    stage, judgement = progress.record.stage, _judge(now, progress)
+    if changes := _revert(stage, judgement):
+        return changes
     if stage == FINAL_STAGE:
-        return _settle(now, progress, reports)
-    if not _next_stage_due(now, progress, reports):
-        return {}
-    if trails:
-        return reverted(f"behind: {counts}")
-    at_stage = sum(report.stage == stage for report in reports)
-    if evidence.confirmed >= MAX_ADVANCE_EVIDENCE or 2 * at_stage <= len(reports):
+        return _settle(now, progress, judgement.reports)
+    if not _next_stage_due(now, progress, judgement.reports):
         return {}
-    ramp_fraction = progress.elapsed_seconds(now) / progress.record.ramp_seconds
-    if reverts > advances and ramp_fraction < STAGE_STARTS[stage + 1] + VOTE_WAIT_SHARE:
+    if judgement.trails:
+        return reverted(f"behind: {judgement.counts}")
+    if judgement.excess >= REVERT_EVIDENCE:
+        return reverted(f"more bad answers: {judgement.counts}")
+    if _holds(now, progress, judgement):
         return {}
+    if stage + 1 == FINAL_STAGE:
+        return advanced_to_last(FINAL_STAGE, progress.baseline_shares())
     return advanced_to(stage + 1)
 
 
+def _revert(stage: int, judgement: _Judgement) -> RecordChanges:
+    """Return the changes that revert the order if it must not wait for the next stage."""
+    counts, reverts, advances = judgement.counts, judgement.reverts, judgement.advances
+    if judgement.evidence.against >= ALARM_THRESHOLD:
+        return reverted(f"bad answers: {counts}")
+    if judgement.excess >= (REVERT_EVIDENCE if stage else TRIAL_REVERT_EVIDENCE):
+        return reverted(f"more bad answers: {counts}")
+    if judgement.has_too_many_bad:
+        return reverted(f"too many bad answers: {counts}")
+    if judgement.trails and reverts >= 2 and reverts > advances:
+        return reverted(f"votes: {reverts} back, {advances} on")
+    return {}
+
+
+def _holds(now: int, progress: OrderProgress, judgement: _Judgement) -> bool:
+    """Whether the next stage, which is due, must still wait."""
+    stage, reports = progress.record.stage, judgement.reports
+    at_stage = sum(report.stage == stage for report in reports)
+    if judgement.evidence.confirmed >= MAX_ADVANCE_EVIDENCE or 2 * at_stage <= len(reports):
+        return True
+    waited = progress.elapsed_seconds(now) / progress.record.ramp_seconds - STAGE_STARTS[stage + 1]
+    if judgement.reverts > judgement.advances and waited < VOTE_WAIT_SHARE:
+        return True
+    return judgement.excess >= HOLD_EVIDENCE and waited < HOLD_SHARE
+
+
 def _next_stage_due(now: int, progress: OrderProgress, reports: Sequence[ProxyReport]) -> bool:
     """Whether the next stage may begin by its time, the outcomes so far and the warm instances."""
     record = progress.record
@@ -261,4 +380,6 @@
         return {}
     if progress.previous_idle_since is None:
         progress.previous_idle_since = now
+    if progress.elapsed_seconds(now) < MIN_SETTLE_SHARE * progress.record.ramp_seconds:
+        return {}
     return settled() if now - progress.previous_idle_since >= SETTLE_DELAY else {}
--- a/umbermoor/gateway/rollout/cusum.py
+++ b/umbermoor/gateway/rollout/cusum.py
@@ -9,9 +9,12 @@
 
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
-from math import exp, log, sqrt
+from math import log
 from typing import NamedTuple
 
+from umbermoor.gateway.rollout import excess
+from umbermoor.gateway.rollout.baseline import BACKLOG_DELAY, EVALUATION_DELAY, Baseline
+from umbermoor.gateway.rollout.excess import SourceCount
 from umbermoor.gateway.rollout.judgement import (
     ASSUMED_BAD_SHARE,
     MAX_BASELINE,
@@ -21,7 +24,6 @@
     trails,
 )
 from umbermoor.gateway.rollout.records import OutcomeCounts
-from umbermoor.gateway.units import SECOND
 
 EXCESS_SHARES = (0.1, 0.3, 0.6)
 """The alternative hypotheses: a bad version turns this share of otherwise good outcomes bad."""
@@ -34,13 +36,15 @@
 """
 MAX_ADVANCE_EVIDENCE = ALARM_THRESHOLD / 3
 """The rollout does not advance while the confirmed evidence is this much or more."""
-BASELINE_MEMORY = 0.8 * SECOND
-"""Time constant of the exponential decay of the earlier version's outcomes, in microseconds."""
-PRIOR_OUTCOMES, PRIOR_BAD_SHARE = 20.0, 0.02
-"""Prior of the baseline: this many outcomes, with this share of bad ones."""
+ASSUMED_SHARE, ASSUMED_OUTCOMES = 0.02, 20.0
+"""The share of bad outcomes that is assumed of the earlier version, and the weight of that."""
 MIN_BASELINE = 0.05
-EVALUATION_DELAY = 150_000
-"""Outcomes wait this long, so that the earlier version's from the same time arrive first."""
+"""The CUSUM assumes at least this share of bad outcomes of a good version."""
+MAX_EXCESS_BAD = 20
+"""With so many more bad outcomes than the earlier version would have, the rollout is reverted.
+
+It is well below the 50 after which a version must get no more requests.
+"""
 MAX_SOURCES = 256
 """How many instances are counted separately; further ones are counted together."""
 
@@ -67,20 +71,6 @@
     """The sum without the instance or the proxy that contributes most."""
 
 
-@dataclass(slots=True)
-class SourceCount:
-    """Outcomes of one source: all, the bad ones, and the bad ones that the baseline predicts."""
-
-    outcomes: float = 0
-    bad: float = 0
-    expected_bad: float = 0
-
-    @property
-    def surplus(self) -> float:
-        """The bad outcomes in excess of the expected ones."""
-        return self.bad - self.expected_bad
-
-
 class _Pending(NamedTuple):
     at: int
     proxy: str
@@ -89,43 +79,14 @@
     bad: int
 
 
-@dataclass(slots=True)
-class Baseline:
-    """The earlier version's current share of bad outcomes; older outcomes decay."""
-
-    outcomes: float = 0.0
-    bad: float = 0.0
-    at: int = 0
-
-    def add(self, now: int, outcomes: int, good: int) -> None:
-        """Count outcomes of the earlier version that are reported now."""
-        decay = exp((self.at - now) / BASELINE_MEMORY)
-        self.outcomes = self.outcomes * decay + outcomes
-        self.bad = self.bad * decay + outcomes - good
-        self.at = now
-
-    def mean(self) -> float:
-        """Return the estimated share of bad outcomes."""
-        return (self.bad + PRIOR_OUTCOMES * PRIOR_BAD_SHARE) / (self.outcomes + PRIOR_OUTCOMES)
-
-    def upper_bound(self, no_baseline: bool) -> float:
-        """Return the estimate plus twice its standard error.
-
-        `no_baseline` means that no earlier version is in use any more.
-        """
-        mean = self.mean()
-        high = mean + 2 * sqrt(mean * (1 - mean) / (self.outcomes + PRIOR_OUTCOMES))
-        return min(MAX_BASELINE, max(high, ASSUMED_BAD_SHARE if no_baseline else MIN_BASELINE))
-
-
 @dataclass
 class SequentialTest:
     """Pooled outcomes of one order, and the CUSUM test on them."""
 
-    baseline: Baseline = field(default_factory=Baseline)
+    baseline: Baseline = field(default_factory=lambda: Baseline(ASSUMED_SHARE, ASSUMED_OUTCOMES))
     sums: dict[float, float] = field(default_factory=lambda: dict.fromkeys(EXCESS_SHARES, 0.0))
     contributions: dict[float, dict[Source, float]] = field(
-        default_factory=lambda: {excess: defaultdict(float) for excess in EXCESS_SHARES}
+        default_factory=lambda: {share: defaultdict(float) for share in EXCESS_SHARES}
     )
     """What each source contributed to the sums."""
     trial: OutcomeCounts = field(default_factory=OutcomeCounts)
@@ -134,18 +95,38 @@
         default_factory=lambda: {PROXY: {}, INSTANCE: {}}
     )
     pending: deque[_Pending] = field(default_factory=deque)
+    backlog: deque[_Pending] = field(default_factory=deque)
+    """What the proxies' first reports count; the time of these outcomes is unknown."""
 
-    def add_pending(self, now: int, proxy: str, instance: str, outcomes: int, bad: int) -> None:
-        """Add outcomes of the new version, to be evaluated after EVALUATION_DELAY."""
-        self.pending.append(_Pending(now, proxy, instance, outcomes, bad))
+    def add_pending(
+        self, now: int, proxy: str, instance: str, outcomes: int, bad: int, is_backlog: bool
+    ) -> None:
+        """Add outcomes of the new version, to be evaluated after a delay."""
+        queue = self.backlog if is_backlog else self.pending
+        queue.append(_Pending(now, proxy, instance, outcomes, bad))
 
     def evaluate_pending(self, now: int, no_baseline: bool) -> None:
         """Evaluate the outcomes whose delay is over; all of them if there is no baseline."""
-        mean, baseline_share = self.baseline.mean(), self.baseline.upper_bound(no_baseline)
+        if no_baseline:
+            self.baseline.freeze()
+        share, upper_bound = self.baseline.current(), self._upper_bound(no_baseline)
         while self.pending and (no_baseline or now - self.pending[0].at >= EVALUATION_DELAY):
-            self._evaluate(self.pending.popleft(), mean, baseline_share)
+            self._evaluate(self.pending.popleft(), share, upper_bound)
+        highest = self.baseline.highest()
+        while self.backlog and (no_baseline or now - self.backlog[0].at >= BACKLOG_DELAY):
+            self._evaluate(self.backlog.popleft(), highest, max(highest, upper_bound))
+
+    def _upper_bound(self, no_baseline: bool) -> float:
+        """Return the earlier version's share of bad outcomes plus twice its standard error.
 
-    def _evaluate(self, pending: _Pending, mean: float, baseline_share: float) -> None:
+        `no_baseline` means that no earlier version is in use any more.
+        """
+        baseline = self.baseline
+        least = ASSUMED_BAD_SHARE if no_baseline else MIN_BASELINE
+        high = max(baseline.mean() + 2 * baseline.standard_error(), baseline.current(), least)
+        return min(MAX_BASELINE, high)
+
+    def _evaluate(self, pending: _Pending, share: float, upper_bound: float) -> None:
         _, proxy, instance, outcomes, bad = pending
         by_instance = self.source_counts[INSTANCE]
         if instance not in by_instance and len(by_instance) >= MAX_SOURCES:
@@ -153,18 +134,16 @@
         sources = (Source(PROXY, proxy), Source(INSTANCE, instance))
         for kind, name in sources:
             count = self.source_counts[kind].setdefault(name, SourceCount())
-            count.outcomes += outcomes
-            count.bad += bad
-            count.expected_bad += outcomes * mean
-        for excess in EXCESS_SHARES:
-            ratio = log_likelihood_ratio(baseline_share, excess, outcomes, bad)
-            self.sums[excess] += ratio
-            if self.sums[excess] <= 0:
-                self.sums[excess] = 0.0
-                self.contributions[excess].clear()
+            count.add(outcomes, bad, outcomes * share)
+        for excess_share in EXCESS_SHARES:
+            ratio = log_likelihood_ratio(upper_bound, excess_share, outcomes, bad)
+            self.sums[excess_share] += ratio
+            if self.sums[excess_share] <= 0:
+                self.sums[excess_share] = 0.0
+                self.contributions[excess_share].clear()
             else:
                 for source in sources:
-                    self.contributions[excess][source] += ratio
+                    self.contributions[excess_share][source] += ratio
 
     def evidence(self, instances: int, proxies: int) -> Evidence:
         """Return the evidence against the version, for the alternative with the strongest evidence.
@@ -173,19 +152,21 @@
         only one of its kind is never excluded.
         """
         strongest = Evidence(0.0, 0.0)
-        for excess, total in self.sums.items():
+        for excess_share, total in self.sums.items():
             remaining = total
             for kind, count in ((INSTANCE, instances), (PROXY, proxies)):
                 if count > 1:
-                    remaining = min(remaining, total - self._largest_contribution(excess, kind))
+                    remaining = min(
+                        remaining, total - self._largest_contribution(excess_share, kind)
+                    )
             against = min(total, remaining + ALARM_THRESHOLD - CONFIRMED_ALARM_THRESHOLD)
             strongest = max(
                 strongest, Evidence(against, remaining), key=lambda evidence: evidence.against
             )
         return strongest
 
-    def _largest_contribution(self, excess: float, kind: str) -> float:
-        contributions = self.contributions[excess].items()
+    def _largest_contribution(self, excess_share: float, kind: str) -> float:
+        contributions = self.contributions[excess_share].items()
         return max((ratio for source, ratio in contributions if source.kind == kind), default=0.0)
 
     def trails(self, instances: int, proxies: int) -> bool:
@@ -195,32 +176,34 @@
         version's mean is taken at the times of the trial's outcomes, so that a temporary fault that
         affects both versions makes no difference.
         """
-        by_proxy = self.source_counts[PROXY].values()
-        outcomes = sum(count.outcomes for count in by_proxy)
-        bad = sum(count.bad for count in by_proxy)
-        expected_bad = sum(count.expected_bad for count in by_proxy)
-        exclusions = [SourceCount()]
-        if proxies > 1:
-            exclusions.append(self._worst(PROXY))
-        if instances > 1:
-            exclusions.append(self._worst(INSTANCE))
-        return all(
-            _pooled_trails(
-                outcomes - excluded.outcomes,
-                bad - excluded.bad,
-                expected_bad - excluded.expected_bad,
-            )
-            for excluded in exclusions
-        )
+        return all(map(_pooled_trails, self._pooled(instances, proxies)))
 
-    def _worst(self, kind: str) -> SourceCount:
-        counts = self.source_counts[kind].values()
-        return max(counts, key=lambda count: count.surplus, default=SourceCount())
+    def _pooled(self, instances: int, proxies: int) -> list[SourceCount]:
+        """Return the pooled counts, those without the worst proxy and without the worst instance.
+
+        The only source of its kind is never excluded.
+        """
+        pooled = excess.total(self.source_counts[PROXY].values())
+        return [pooled] + [
+            excess.without(pooled, excess.worst(self.source_counts[kind].values()))
+            for kind, count in ((PROXY, proxies), (INSTANCE, instances))
+            if count > 1
+        ]
+
+    def exceeds_bad_answers(self, instances: int, proxies: int) -> bool:
+        """Whether the new version has too many bad outcomes, whatever their share is.
+
+        It must also have half as many without the worst instance and without the worst proxy.
+        """
+        pooled, *without_worst = self._pooled(instances, proxies)
+        return excess.exceeds(pooled, MAX_EXCESS_BAD) and all(
+            excess.exceeds(count, MAX_EXCESS_BAD / 2) for count in without_worst
+        )
 
 
-def _pooled_trails(outcomes: float, bad: float, expected_bad: float) -> bool:
-    """Whether the new version trails an earlier one that would have `expected_bad` bad outcomes."""
-    if outcomes < MIN_OUTCOMES:
+def _pooled_trails(count: SourceCount) -> bool:
+    """Whether the new version trails an earlier one that would have the expected bad outcomes."""
+    if count.outcomes < MIN_OUTCOMES:
         return False
-    mu = min(MAX_MEAN, 1 - expected_bad / outcomes)
-    return trails(1 - bad / outcomes, outcomes, mu)
+    mu = min(MAX_MEAN, 1 - count.expected_bad / count.outcomes)
+    return trails(1 - count.bad / count.outcomes, count.outcomes, mu)
--- a/umbermoor/gateway/rollout/observer.py
+++ b/umbermoor/gateway/rollout/observer.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from umbermoor.gateway.rollout.records import (
+    AttemptResult,
     RecordDocument,
     ReportDocument,
     RolloutRecord,
@@ -134,7 +135,7 @@
         instance: str,
         listed_at: int,
         in_time: bool,
-        failed: bool,
+        result: AttemptResult,
         retry: bool,
     ) -> None:
         """Record the end of an attempt that was sent.
@@ -146,11 +147,12 @@
             instance: its id.
             listed_at: when this proxy first had it listed.
             in_time: whether it met the route's latency target.
-            failed: whether it got no complete and successful response.
-            retry: whether its outcome is not counted: it was a retry, or was never executed.
+            result: how it ended.
+            retry: whether its outcome is not counted: it was a retry, or was never executed. Its
+                response, if there is one, is counted all the same.
         """
         state = self._service(service)
-        state.attempt_ended(now, version, instance, listed_at, in_time, failed, retry)
+        state.attempt_ended(now, version, instance, listed_at, in_time, result, retry)
 
     def attempt_abandoned(
         self,
--- a/umbermoor/gateway/rollout/records.py
+++ b/umbermoor/gateway/rollout/records.py
@@ -1,13 +1,17 @@
 """The JSON of stored rollout records and of proxies' reports.
 
 The record is stored in the replicated map under ROLLOUT_KEY_PREFIX followed by the service's name.
-Its keys: order, serial, target, from, rampS, state, stage, elapsed, why, known.
+Its keys: order, serial, target, from, rampS, state, stage, elapsed, why, known; and base, the
+earlier version's shares of bad outcomes, once the last stage has begun.
+
+A report has a key `answers` since the revision that counts error responses separately. Without it
+the counts of responses are 0.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import StrEnum
-from typing import Any, TypedDict
+from enum import Enum, StrEnum
+from typing import Any, NamedTuple, TypedDict
 
 ROLLOUT_KEY_PREFIX = "rollout/"
 
@@ -25,6 +29,16 @@
     REVERTED = "reverted"
 
 
+class AttemptResult(Enum):
+    """How an attempt ended, as far as a rollout distinguishes it."""
+
+    SUCCESS = "success"
+    ERROR_RESPONSE = "error_response"
+    """A complete response with a server error (5xx): the instance's own doing."""
+    NO_RESPONSE = "no_response"
+    """No complete response; the cause may be on the way to the instance."""
+
+
 class Vote(StrEnum):
     """A proxy's vote on the present stage, by Test & Roll on its own outcomes."""
 
@@ -100,6 +114,8 @@
     stage: int
     why: str
     """The reason why the order is reverted."""
+    base: list[float]
+    """The earlier version's shares of bad outcomes, as `BaselineShares` lists them."""
 
 
 def reverted(reason: str) -> RecordChanges:
@@ -117,6 +133,29 @@
     return {"stage": stage}
 
 
+class BaselineShares(NamedTuple):
+    """The earlier version's shares when it was last used, for a controller that takes over then."""
+
+    bad_outcomes: float
+    error_responses: float
+    bad_responses: float
+
+    @classmethod
+    def read(cls, document: RecordDocument) -> "BaselineShares | None":
+        """Read the shares from a record; None if it has none.
+
+        Raises:
+            TypeError: they are not the JSON of shares.
+        """
+        shares = document.get("base")
+        return None if shares is None else cls(*shares)
+
+
+def advanced_to_last(stage: int, shares: BaselineShares) -> RecordChanges:
+    """Return the changes that move an order to the last stage."""
+    return {"stage": stage, "base": [round(share, 6) for share in shares]}
+
+
 @dataclass(slots=True)
 class OutcomeCounts:
     """Counts of attempts' outcomes: all, the good ones and the failed ones."""
@@ -147,6 +186,67 @@
         return [self.total, self.good, self.failed]
 
 
+@dataclass(slots=True)
+class ResponseCounts:
+    """Counts of complete responses: all, those with a server error (5xx), and other late ones.
+
+    Unlike OutcomeCounts, they include nothing that went wrong on the way between proxy and
+    instance. Responses to retries, and those of instances that are warming up, are included too,
+    but not counted as late.
+    """
+
+    total: int = 0
+    errors: int = 0
+    late: int = 0
+
+    @property
+    def bad(self) -> int:
+        """The responses that were errors or late."""
+        return self.errors + self.late
+
+    def add(self, error: bool, late: bool) -> None:
+        """Count one response."""
+        self.total += 1
+        self.errors += error
+        self.late += late and not error
+
+    def since(self, earlier: "ResponseCounts") -> "ResponseCounts":
+        """Return the difference between an earlier state of the counts and this one."""
+        return ResponseCounts(
+            self.total - earlier.total, self.errors - earlier.errors, self.late - earlier.late
+        )
+
+    def to_json(self) -> list[int]:
+        """Return the counts as they are written in JSON."""
+        return [self.total, self.errors, self.late]
+
+
+@dataclass(slots=True)
+class VersionResponses:
+    """The responses that one proxy received from both versions."""
+
+    trial: dict[str, ResponseCounts]
+    """By instance of the new version."""
+    baseline: ResponseCounts
+
+    @classmethod
+    def read(cls, document: Mapping[str, Any] | None) -> "VersionResponses":
+        """Read the counts from their JSON; None if the proxy is of an earlier revision.
+
+        Raises:
+            KeyError, TypeError: it is not the JSON of counts.
+        """
+        if document is None:
+            return cls({}, ResponseCounts())
+        trial = {name: ResponseCounts(*counts) for name, counts in document["trial"].items()}
+        return cls(trial, ResponseCounts(*document["base"]))
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the counts as JSON."""
+        trial = {name: counts.to_json() for name, counts in self.trial.items()}
+        return {"trial": trial, "base": self.baseline.to_json()}
+
+
 @dataclass(slots=True)
 class ProxyReport:
     """A proxy's report on an order.
@@ -174,6 +274,7 @@
     previous_instances: int
     warm_instances: int
     """Instances of the new version whose warm-up time is over."""
+    responses: VersionResponses
 
     @classmethod
     def read(cls, document: ReportDocument) -> "ProxyReport":
@@ -198,6 +299,7 @@
             document["asked"],
             previous_instances,
             warm_instances,
+            VersionResponses.read(document.get("answers")),
         )
 
     def to_document(self) -> ReportDocument:
@@ -215,4 +317,5 @@
             "before": self.previous_in_flight,
             "asked": self.requests,
             "listed": [self.previous_instances, self.warm_instances],
+            "answers": self.responses.to_document(),
         }
--- a/umbermoor/gateway/rollout/service_rollout.py
+++ b/umbermoor/gateway/rollout/service_rollout.py
@@ -9,6 +9,7 @@
 from math import exp, log
 from typing import NamedTuple
 
+from umbermoor.gateway.rollout.baseline import Baseline
 from umbermoor.gateway.rollout.judgement import (
     ASSUMED_BAD_SHARE,
     INITIAL_MEAN,
@@ -20,10 +21,14 @@
     trails,
 )
 from umbermoor.gateway.rollout.records import (
+    AttemptResult,
+    BaselineShares,
     OutcomeCounts,
     ProxyReport,
+    ResponseCounts,
     RolloutRecord,
     RolloutState,
+    VersionResponses,
     Vote,
 )
 from umbermoor.gateway.rollout.stages import (
@@ -122,8 +127,13 @@
     """Attempts in flight, by version."""
     trial: OutcomeCounts = field(default_factory=OutcomeCounts)
     baseline: OutcomeCounts = field(default_factory=OutcomeCounts)
+    baseline_share: Baseline = field(default_factory=lambda: Baseline(0.0, MIN_OUTCOMES))
     by_instance: dict[str, list[int]] = field(default_factory=dict)
     """Outcomes and bad outcomes, by instance of the trial."""
+    trial_responses: dict[str, ResponseCounts] = field(default_factory=dict)
+    """Responses by instance of the trial."""
+    trial_errors: int = 0
+    baseline_responses: ResponseCounts = field(default_factory=ResponseCounts)
     failures: dict[str, ConsecutiveFailures] = field(default_factory=dict)
     evidence_against: float = 0.0
     """CUSUM of this proxy's own outcomes against the new version, after the trial stage."""
@@ -303,12 +313,16 @@
         instance: str,
         listed_at: int,
         in_time: bool,
-        failed: bool,
+        result: AttemptResult,
         retry: bool,
     ) -> None:
         """Record the end of a sent attempt, see `RolloutObserver.attempt_ended`."""
         self._no_longer_in_flight(version)
+        failed = result is not AttemptResult.SUCCESS
         self._note_failure(now, instance, failed)
+        if result is not AttemptResult.NO_RESPONSE:
+            counts_late = not retry and now - listed_at >= WARM_UP_TIME
+            self._count_response(version, instance, failed, counts_late and not in_time)
         if not retry:
             self._count_outcome(now, version, instance, listed_at, in_time and not failed, failed)
 
@@ -339,6 +353,21 @@
             self._count_trial_outcome(now, record, instance, good)
         elif version == self.base_version:
             self.baseline.add(good, failed)
+            self.baseline_share.add(now, 1, not good)
+
+    def _count_response(self, version: str, instance: str, error: bool, late: bool) -> None:
+        """Count a complete response, also one to a retry or of an instance that is warming up."""
+        record = self.record
+        if record is None or record.state != RolloutState.RUNNING:
+            return
+        if version == record.target:
+            named = instance in self.trial_responses
+            if not named and len(self.trial_responses) >= MAX_NAMED_INSTANCES:
+                instance = ""
+            self.trial_responses.setdefault(instance, ResponseCounts()).add(error, late)
+            self.trial_errors += error
+        elif version == self.base_version:
+            self.baseline_responses.add(error, late)
 
     def _note_failure(self, now: int, instance: str, failed: bool) -> None:
         if not failed:
@@ -357,7 +386,12 @@
         count[1] += not good
         if not record.stage:
             return
-        bad_share = self.baseline.bad / max(self.baseline.total, MIN_OUTCOMES)
+        pooled = BaselineShares.read(record.document)
+        bad_share = max(
+            self.baseline_share.mean(),
+            self.baseline_share.since_order(),
+            0.0 if pooled is None else pooled.bad_outcomes,
+        )
         baseline_share = min(MAX_BASELINE, ASSUMED_BAD_SHARE + bad_share)
         ratio = log_likelihood_ratio(baseline_share, LOCAL_EXCESS_SHARE, 1, not good)
         self.evidence_against = max(0.0, self.evidence_against + ratio)
@@ -396,7 +430,8 @@
 
     def report_key(self, stage: int, vote: Vote | None, previous_in_flight: int) -> ReportKey:
         """Return the values that are compared with the last report to see if a new one is due."""
-        return ReportKey(stage, vote, previous_in_flight > 0, self.trial.bad, self.baseline.bad)
+        trial_bad = self.trial.bad + self.trial_errors
+        return ReportKey(stage, vote, previous_in_flight > 0, trial_bad, self.baseline.bad)
 
     def report(
         self, now: int, service: str, record: RolloutRecord, key: ReportKey, previous: int
@@ -419,4 +454,5 @@
             self.requests,
             self.base_instances,
             warm,
+            VersionResponses(self.trial_responses, self.baseline_responses),
         )
--- a/umbermoor/gateway/server/request_handler.py
+++ b/umbermoor/gateway/server/request_handler.py
@@ -36,6 +36,7 @@
 )
 from umbermoor.gateway.balancing.retry_budget import RetryBudgets
 from umbermoor.gateway.rollout.observer import RolloutObserver
+from umbermoor.gateway.rollout.records import AttemptResult
 from umbermoor.gateway.routing.route_table import Route, RouteTable
 from umbermoor.gateway.server.active_request import ActiveRequest, request_deadline
 from umbermoor.gateway.server.client_connection import ClientConnection
@@ -287,7 +288,7 @@
             instance.id,
             instance.listed_at,
             duration_us <= attempt.request.route.latency_target_us,
-            failed,
+            _rollout_result(outcome, failed),
             attempt.number > 1 or outcome in NOT_EXECUTED,
         )
 
@@ -400,3 +401,12 @@
         outcomes = {outcome.value: count for outcome, count in self.outcome_counts.items() if count}
         statuses = {f"status_{status}": count for status, count in self.status_counts.items()}
         return outcomes | statuses
+
+
+def _rollout_result(outcome: AttemptOutcome, failed: bool) -> AttemptResult:
+    """Return how an attempt ended, as a rollout counts it."""
+    if not failed:
+        return AttemptResult.SUCCESS
+    if outcome is AttemptOutcome.COMPLETE:
+        return AttemptResult.ERROR_RESPONSE
+    return AttemptResult.NO_RESPONSE
--- a/umbermoor/gateway/simulation/schedule_generator.py
+++ b/umbermoor/gateway/simulation/schedule_generator.py
@@ -17,6 +17,7 @@
 
 Weights = dict[str, int]  # by kind of step
 
+FAILURE_PERCENTS = 50, 50, 30, 20  # of the answers of a bad version
 PICKS = 1000  # an instance is picked by a number below this, modulo the number of ready ones
 
 ORDERS: Weights = {
@@ -165,7 +166,10 @@
         ramp = self._rng.choice((6, 12))
         good = self._rng.choice((1, 1, 0))
         target = f"v{at_ms}"
-        self._add(at_ms, kind, service=service, target=target, ramp=ramp, good=good, **raced)
+        percent = {} if good else {"percent": FAILURE_PERCENTS[at_ms % len(FAILURE_PERCENTS)]}
+        self._add(
+            at_ms, kind, service=service, target=target, ramp=ramp, good=good, **percent, **raced
+        )
 
     def _order_twin(self, at_ms: int, kind: str) -> None:
         revision = self._revision(at_ms)
