--- a/benchmarks/soak/instances.py
+++ b/benchmarks/soak/instances.py
@@ -1,6 +1,8 @@
 """Stand-in instances that record the requests they execute, each behind a relay."""
 
+import asyncio
 import time
+from enum import Enum
 
 from benchmarks.soak.records import Execution, Records
 from benchmarks.soak.relays import Relay
@@ -8,6 +10,14 @@
 from umbermoor.http1.reader import Request
 
 
+class Departure(Enum):
+    """How an instance departs."""
+
+    CRASH = "crash"
+    DRAIN = "drain"
+    LEAVE_FIRST = "leave first"
+
+
 class RecordedInstance(LocalInstance):
     """Local instance that registers the address of its relay instead of its own."""
 
@@ -35,7 +45,7 @@
         return await super().send_heartbeat()
 
     async def _work(self, request: Request, until: float) -> InstanceResponse:
-        execution = Execution(time.monotonic())
+        execution = Execution(time.monotonic(), self.id)
         self._records.executions[request.headers["x-attempt-id"]].append(execution)
         try:
             response = await super()._work(request, until)
@@ -44,6 +54,13 @@
         finally:
             execution.over_at = time.monotonic()
 
+    async def leave_and_serve(self, serve_s: float) -> None:
+        """Leave without draining before, serve on for `serve_s`, and stop."""
+        if await self.leave():
+            self._records.left[self.id] = time.monotonic()
+        await asyncio.sleep(serve_s)
+        self.crash()
+
     def crash(self) -> None:
         """Stop the instance and its relay without deregistering."""
         super().crash()
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -36,6 +36,7 @@
     """Execution of a request by an instance."""
 
     began_at: float
+    instance: str
     ended_at: float = 0.0  # when the work was completed; 0 if it was cancelled
     over_at: float = 0.0  # when it was completed or cancelled; 0 while it runs
 
@@ -69,6 +70,27 @@
     ended_at: float
 
 
+@dataclass(frozen=True)
+class RolloutAnswer:
+    """Answer of an instance of the service that is rolled out."""
+
+    began_at: float
+    version: str
+    proxy: str
+    failed: bool
+
+
+@dataclass
+class RolloutOrder:
+    """An acknowledged order; the version fails `failure_share` of its requests."""
+
+    target: str
+    failure_share: float
+    ordered_at: float
+    ramp_s: float
+    state: str = "running"
+
+
 @dataclass
 class Records:
     """Observations of one day.
@@ -85,6 +107,9 @@
             learn of a client's disconnect.
         disturbed: Kills and pauses of nodes, during which a request may be lost.
         stalls: Spans in which the soak's own event loop was blocked and its timings are invalid.
+        left: When the leave of an instance that serves on was acknowledged, by its id.
+        rollouts: The acknowledged rollout orders.
+        rollout_answers: Answers of the service that is rolled out.
         broken: Violations detected while the day was running.
     """
 
@@ -98,4 +123,7 @@
     terms: list[Span] = field(default_factory=list)
     disturbed: list[Span] = field(default_factory=list)
     stalls: list[Span] = field(default_factory=list)
+    left: dict[str, float] = field(default_factory=dict)
+    rollouts: list[RolloutOrder] = field(default_factory=list)
+    rollout_answers: list[RolloutAnswer] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
--- a/umbermoor/gateway/local/instance.py
+++ b/umbermoor/gateway/local/instance.py
@@ -98,6 +98,12 @@
         await self._retry(self._leave)
         self.crash()
 
+    async def leave(self) -> bool:
+        """Leave without draining before, and serve on; return whether it was acknowledged."""
+        if self._heartbeats:
+            self._heartbeats.cancel()
+        return await self._retry(self._leave)
+
     def crash(self) -> None:
         """Stop without notice to the controllers."""
         if self._heartbeats:
@@ -151,14 +157,15 @@
             await asyncio.sleep(self.settings.heartbeat_interval_s)
             await self.send_heartbeat()
 
-    async def _retry(self, call: Callable[[], Awaitable[bool]]) -> None:
-        """Retry a call until it is acknowledged, for at most SHUTDOWN_CALL_TIMEOUT_S."""
+    async def _retry(self, call: Callable[[], Awaitable[bool]]) -> bool:
+        """Retry a call for at most SHUTDOWN_CALL_TIMEOUT_S; return whether it was acknowledged."""
         loop = asyncio.get_running_loop()
         until = loop.time() + SHUTDOWN_CALL_TIMEOUT_S
         acknowledged = await call()
         while not acknowledged and loop.time() < until:
             await asyncio.sleep(SHUTDOWN_CALL_INTERVAL_S)
             acknowledged = await call()
+        return acknowledged
 
     # Requests
 
