--- a/umbermoor/front/http2/session.py
+++ b/umbermoor/front/http2/session.py
@@ -176,9 +176,17 @@
         if call.progress is StreamProgress.UNSENT:
             self._waiting = deque(one for one in self._waiting if one is not call)
         else:
+            if self.is_written_whole(call):
+                # The transport still sends what it holds, ahead of the reset.
+                call.progress = max(call.progress, StreamProgress.WHOLE)
             self._reset(call.stream, h2.errors.ErrorCodes.CANCEL)
         call.fail(end)
 
+    def is_written_whole(self, call: Call) -> bool:
+        """Whether END_STREAM of an open call was handed to the transport."""
+        stream = self._streams.get(call.stream)
+        return stream is not None and stream.closed
+
     def ping(self, now: int) -> None:
         """Send a PING, unless one is unanswered."""
         if not self.ended and not self.pinged:
