--- a/umbermoor/gateway/rollout/service_rollout.py
+++ b/umbermoor/gateway/rollout/service_rollout.py
@@ -6,29 +6,23 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from math import exp, log
+from math import exp
 from typing import NamedTuple
 
-from umbermoor.gateway.rollout.baseline import Baseline
 from umbermoor.gateway.rollout.judgement import (
-    ASSUMED_BAD_SHARE,
     INITIAL_MEAN,
-    MAX_BASELINE,
     MAX_MEAN,
     MIN_OUTCOMES,
     SIGMA,
-    log_likelihood_ratio,
     trails,
 )
+from umbermoor.gateway.rollout.outcomes import OrderOutcomes
 from umbermoor.gateway.rollout.records import (
     AttemptResult,
     BaselineShares,
-    OutcomeCounts,
     ProxyReport,
-    ResponseCounts,
     RolloutRecord,
     RolloutState,
-    VersionResponses,
     Vote,
 )
 from umbermoor.gateway.rollout.stages import (
@@ -58,12 +52,6 @@
 EJECTION_TIME = 2 * SECOND
 BACK_OFF_TIME = SECOND * 3 // 2
 """How long a proxy stops using the trial after its own test raised an alarm."""
-LOCAL_ALARM_THRESHOLD = log(300)
-"""The sum of log-likelihood ratios at which the proxy's own test raises an alarm."""
-LOCAL_EXCESS_SHARE = 0.3
-"""The alternative hypothesis: a bad version turns this share of otherwise good outcomes bad."""
-MAX_NAMED_INSTANCES = 12
-"""How many instances a report counts separately; further ones are counted together."""
 NO_TRIAL = -1
 """The stage of a proxy that sends nothing to the trial."""
 
@@ -125,18 +113,8 @@
     """Attempts assigned to the trial that have not been sent yet."""
     in_flight: Counter[str] = field(default_factory=Counter)
     """Attempts in flight, by version."""
-    trial: OutcomeCounts = field(default_factory=OutcomeCounts)
-    baseline: OutcomeCounts = field(default_factory=OutcomeCounts)
-    baseline_share: Baseline = field(default_factory=lambda: Baseline(0.0, MIN_OUTCOMES))
-    by_instance: dict[str, list[int]] = field(default_factory=dict)
-    """Outcomes and bad outcomes, by instance of the trial."""
-    trial_responses: dict[str, ResponseCounts] = field(default_factory=dict)
-    """Responses by instance of the trial."""
-    trial_errors: int = 0
-    baseline_responses: ResponseCounts = field(default_factory=ResponseCounts)
+    outcomes: OrderOutcomes = field(default_factory=OrderOutcomes)
     failures: dict[str, ConsecutiveFailures] = field(default_factory=dict)
-    evidence_against: float = 0.0
-    """CUSUM of this proxy's own outcomes against the new version, after the trial stage."""
     no_trial_until: int = 0
     request_rate: float = 0.0
     """Exponentially decaying count of requests, with half the HORIZON as its time constant."""
@@ -349,11 +327,11 @@
         if now - listed_at < WARM_UP_TIME:
             return
         if version == record.target:
-            self.trial.add(good, failed)
-            self._count_trial_outcome(now, record, instance, good)
+            self.outcomes.add_trial(instance, good, failed)
+            if record.stage:
+                self._watch_trial(now, record, good)
         elif version == self.base_version:
-            self.baseline.add(good, failed)
-            self.baseline_share.add(now, 1, not good)
+            self.outcomes.add_baseline(now, good, failed)
 
     def _count_response(self, version: str, instance: str, error: bool, late: bool) -> None:
         """Count a complete response, also one to a retry or of an instance that is warming up."""
@@ -361,13 +339,9 @@
         if record is None or record.state != RolloutState.RUNNING:
             return
         if version == record.target:
-            named = instance in self.trial_responses
-            if not named and len(self.trial_responses) >= MAX_NAMED_INSTANCES:
-                instance = ""
-            self.trial_responses.setdefault(instance, ResponseCounts()).add(error, late)
-            self.trial_errors += error
+            self.outcomes.add_trial_response(instance, error, late)
         elif version == self.base_version:
-            self.baseline_responses.add(error, late)
+            self.outcomes.add_baseline_response(error, late)
 
     def _note_failure(self, now: int, instance: str, failed: bool) -> None:
         if not failed:
@@ -377,27 +351,14 @@
             attempts = 1 if last is None else last.attempts + 1
             self.failures[instance] = ConsecutiveFailures(attempts, now)
 
-    def _count_trial_outcome(
-        self, now: int, record: RolloutRecord, instance: str, good: bool
-    ) -> None:
-        counted_alone = instance in self.by_instance or len(self.by_instance) < MAX_NAMED_INSTANCES
-        count = self.by_instance.setdefault(instance if counted_alone else "", [0, 0])
-        count[0] += 1
-        count[1] += not good
-        if not record.stage:
-            return
-        pooled = BaselineShares.read(record.document)
-        bad_share = max(
-            self.baseline_share.mean(),
-            self.baseline_share.since_order(),
-            0.0 if pooled is None else pooled.bad_outcomes,
-        )
-        baseline_share = min(MAX_BASELINE, ASSUMED_BAD_SHARE + bad_share)
-        ratio = log_likelihood_ratio(baseline_share, LOCAL_EXCESS_SHARE, 1, not good)
-        self.evidence_against = max(0.0, self.evidence_against + ratio)
-        if self.evidence_against >= LOCAL_ALARM_THRESHOLD:
-            # Act without the controllers: they may be changing their leader just now.
-            self.evidence_against, self.no_trial_until = 0.0, now + BACK_OFF_TIME
+    def _watch_trial(self, now: int, record: RolloutRecord, good: bool) -> None:
+        """Stop using the trial for a while if its outcomes at this proxy raise the alarm.
+
+        This acts without the controllers: they may be changing their leader just now.
+        """
+        shares = BaselineShares.read(record.document)
+        if self.outcomes.raises_alarm(good, 0.0 if shares is None else shares.bad_outcomes):
+            self.no_trial_until = now + BACK_OFF_TIME
 
     # Votes and reports
 
@@ -409,7 +370,7 @@
         """
         if not self.running:
             return None
-        trial, baseline = self.trial, self.baseline
+        trial, baseline = self.outcomes.trial, self.outcomes.baseline
         mu = INITIAL_MEAN
         if baseline.total >= MIN_OUTCOMES:
             mu = baseline.good / baseline.total
@@ -430,8 +391,10 @@
 
     def report_key(self, stage: int, vote: Vote | None, previous_in_flight: int) -> ReportKey:
         """Return the values that are compared with the last report to see if a new one is due."""
-        trial_bad = self.trial.bad + self.trial_errors
-        return ReportKey(stage, vote, previous_in_flight > 0, trial_bad, self.baseline.bad)
+        outcomes = self.outcomes
+        return ReportKey(
+            stage, vote, previous_in_flight > 0, outcomes.trial_bad, outcomes.baseline.bad
+        )
 
     def report(
         self, now: int, service: str, record: RolloutRecord, key: ReportKey, previous: int
@@ -447,12 +410,12 @@
             self.counting_since,
             round(elapsed, 3),
             key.vote,
-            self.trial,
-            self.baseline,
-            self.by_instance,
+            self.outcomes.trial,
+            self.outcomes.baseline,
+            self.outcomes.by_instance,
             previous,
             self.requests,
             self.base_instances,
             warm,
-            VersionResponses(self.trial_responses, self.baseline_responses),
+            self.outcomes.responses,
         )
--- a/umbermoor/gateway/server/instance_replication.py
+++ b/umbermoor/gateway/server/instance_replication.py
@@ -60,11 +60,7 @@
         if not record.is_departing:
             callback()
             return
-        stored = self._snapshot.stored(record.id)
-        if stored.done() and not stored.cancelled():
-            callback()
-        else:
-            stored.add_done_callback(lambda stored: None if stored.cancelled() else callback())
+        self._snapshot.when_stored(record.id, callback)
 
     def acknowledge(self, sender: str, number: Any) -> None:
         """Record that a member holds the record with this number."""
--- a/umbermoor/gateway/server/registry_snapshot.py
+++ b/umbermoor/gateway/server/registry_snapshot.py
@@ -2,11 +2,11 @@
 
 The snapshot is written to this controller's store, beside the replica's records. For instances that
 run it is an optimization: their heartbeats would refill the registry. The departure of an instance
-is not repeated, so its acknowledgement waits until the snapshot with it is synced (`stored`).
+is not repeated, so its acknowledgement waits until the snapshot with it is synced.
 """
 
-import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from umbermoor.gateway.discovery.registry import (
@@ -31,7 +31,7 @@
 @dataclass(frozen=True, slots=True)
 class _Waiter:
     sequence: int  # that the snapshot must include
-    stored: "asyncio.Future[None]"
+    callback: Callable[[], None]
 
 
 class RegistrySnapshot:
@@ -53,22 +53,20 @@
         """Have the next tick write the snapshot again, as the stored one is damaged."""
         self._stored_sequence = STALE
 
-    def stored(self, id: str) -> "asyncio.Future[None]":
-        """Return a future that is done once the state of an instance's record is synced.
+    def when_stored(self, id: str, callback: Callable[[], None]) -> None:
+        """Call `callback` once the state of an instance's record is synced; never without a record.
 
         Records that change while a snapshot is written share the next one. A refused write is
-        repeated, so the future may wait for long; it is cancelled if there is no such record.
+        repeated, so the call may come late.
         """
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         sequence = self._registry.durable_sequence_of(id)
         if sequence is None:
-            future.cancel()
-        elif sequence <= self._stored_sequence:
-            future.set_result(None)
-        else:
-            self._waiters.append(_Waiter(sequence, future))
-            self._write()
-        return future
+            return
+        if sequence <= self._stored_sequence:
+            callback()
+            return
+        self._waiters.append(_Waiter(sequence, callback))
+        self._write()
 
     def tick(self, now: int) -> None:
         """Write a snapshot if the durable state of the registry has changed, or one is awaited."""
@@ -93,10 +91,11 @@
         if not synced or sequence is None:
             return
         self._stored_sequence = sequence
-        self._waiters = [waiter for waiter in self._waiters if not waiter.stored.done()]
-        for waiter in self._waiters:
-            if waiter.sequence <= sequence:
-                waiter.stored.set_result(None)
-        self._waiters = [waiter for waiter in self._waiters if not waiter.stored.done()]
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if waiter.sequence > sequence:
+                self._waiters.append(waiter)
+            else:
+                waiter.callback()
         if self._waiters:
             self._write()
