--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -65,7 +65,7 @@
     async def restart_when_ended(self, node: Node) -> None:
         """Restart a node whenever it exits; record an unexpected exit as a violation."""
         while True:
-            started_at = time.monotonic()
+            started_at = self.records.starts[node.name][-1]
             status = await node.running_process.wait()
             if self.stopping:
                 return
