--- a/umbermoor/gateway/replication/bootstrap.py
+++ b/umbermoor/gateway/replication/bootstrap.py
@@ -46,7 +46,13 @@
 
     def _store_members(self, members: tuple[str, ...], system: int) -> None:
         self._context.lifecycle.begin_founding()
-        self._context.sets.store_initial_set(members, system, self._on_members_synced)
+        zones = self._zones_of(members)
+        self._context.sets.store_initial_set(members, system, zones, self._on_members_synced)
+
+    def _zones_of(self, members: tuple[str, ...]) -> dict[str, str]:
+        """Return the zones of the other members, as far as they were heard."""
+        heard = {name: self._context.peers.get(name) for name in members}
+        return {name: peer.zone for name, peer in heard.items() if peer and peer.zone}
 
     def _on_members_synced(self) -> None:
         self._context.lifecycle.founding_synced()
--- a/umbermoor/gateway/replication/set_state.py
+++ b/umbermoor/gateway/replication/set_state.py
@@ -47,13 +47,23 @@
         for listener in self._listeners:
             listener()
 
-    def store_initial_set(self, members: tuple[str, ...], system: int, then: Callback) -> None:
-        """Write the first set to disk, and call `then` once it is synced."""
+    def store_initial_set(
+        self, members: tuple[str, ...], system: int, zones: Mapping[str, str], then: Callback
+    ) -> None:
+        """Write the first set to disk, and call `then` once it is synced.
+
+        The zones of the other members are written with it: one of them may be lost before it has
+        told them again.
+        """
         first = initial_replica_set(members, system)
+        self.zones = dict(zones)
         self.accepted = self.accepted._replace(replica_set=first)
         self.proven = EpochSet(0, first)
         self._refresh()
-        self._disk.enqueue(founding_records(self.names, first.system), "members", then)
+        records = founding_records(self.names, first.system)
+        if self.zones:
+            records |= zones_record(self.zones)
+        self._disk.enqueue(records, "members", then)
 
     def adopt_without_disk(self, proven: EpochSet) -> None:
         """Adopt a set reported by others, while nothing is stored on disk."""
