--- a/review/common2/gateway.py
+++ b/review/common2/gateway.py
@@ -21,6 +21,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ("north", "east", "west")
+RESTART_DELAY_S = 0.5
 MARGINS = {
     "seedDelayS": 3,
     "reuseS": 2,
@@ -223,6 +224,24 @@
             time.sleep(pause)
         return None
 
+    def restart_ended(self) -> list[Node]:
+        """Start again what has ended by itself, as the platform does; return these machines."""
+        ended = []
+        for node in (*self.controllers, *self.proxies):
+            if node.process and node.process.poll() is not None:
+                self.say(f"{node.name} ENDED BY ITSELF with status {node.process.returncode}")
+                ended.append(node)
+        if ended:
+            time.sleep(RESTART_DELAY_S)
+        for node in ended:
+            self.start(node, cold=False)
+        return ended
+
+    def errors(self, node: Node) -> list[str]:
+        """Return the lines of a process's output that name an exception."""
+        text = (self.folder / f"{node.name}.log").read_text(errors="replace")
+        return [line for line in text.splitlines() if "Error" in line or "rror: " in line]
+
     def end(self) -> None:
         """End all processes and remove the temporary folder."""
         running = [node.process for node in (*self.controllers, *self.proxies) if node.process]
@@ -258,13 +277,19 @@
     ).encode()
 
 
-def route(service: str, prefix: str, kind: str = "safe", horizon_s: float = 2.0) -> dict:
+def route(
+    service: str,
+    prefix: str,
+    kind: str = "safe",
+    horizon_s: float = 2.0,
+    setpoint_s: float = 1.0,
+) -> dict[str, object]:
     return {
         "host": "plot.example",
         "prefix": prefix,
         "kind": kind,
         "horizonS": horizon_s,
-        "setpointS": horizon_s / 2,
+        "setpointS": setpoint_s,
         "priority": 1,
         "service": service,
         "tries": 2,
--- a/review/common2/server.py
+++ b/review/common2/server.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import threading
+import time
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
@@ -23,10 +24,11 @@
         period_s: float,
         say: Callable[[str], None],
         revision: str = "v1",
+        work_s: float = 0.0,
     ) -> None:
         self.id, self.service, self.zone, self.revision = id, service, zone, revision
         self.control, self.period_s, self.say = control, period_s, say
-        self.state, self.sample = "ready", 0
+        self.state, self.sample, self.work_s = "ready", 0, work_s
         self.runs: list[tuple[str, int]] = []
         self._ended = threading.Event()
         self._lock = threading.Lock()
@@ -52,6 +54,7 @@
                     return
                 with server._lock:
                     server.runs.append((id, len(body)))
+                time.sleep(server.work_s)
                 seal = f"{server.id}.{id}"
                 answer = b"done by " + server.id.encode()
                 self._send(200, answer, (("X-Attempt-Id", id), ("X-Server-Seal", seal)))
