--- a/review/common2/server.py
+++ b/review/common2/server.py
@@ -5,12 +5,18 @@
 
 import http.client
 import json
+import select
+import socket
 import threading
 import time
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 
+class _HttpServer(ThreadingHTTPServer):
+    request_queue_size = 128
+
+
 class Server:
     """One server with its address, its beats and its list of runs."""
 
@@ -25,14 +31,18 @@
         say: Callable[[str], None],
         revision: str = "v1",
         work_s: float = 0.0,
+        capacity: int = 6,
     ) -> None:
         self.id, self.service, self.zone, self.revision = id, service, zone, revision
         self.control, self.period_s, self.say = control, period_s, say
         self.state, self.sample, self.work_s = "ready", 0, work_s
+        self.worked: dict[str, tuple[float, float]] = {}  # by id: begin and end
+        self.capacity = capacity
+        self.answer_bytes = 0  # size of the answer's body for a path that ends with /large
         self.runs: list[tuple[str, int]] = []
         self._ended = threading.Event()
         self._lock = threading.Lock()
-        self._http = ThreadingHTTPServer((host, 0), self._handler())
+        self._http = _HttpServer((host, 0), self._handler())
         self._http.daemon_threads = True
         self.address = f"{host}:{self._http.server_address[1]}"
         threading.Thread(target=self._http.serve_forever, daemon=True).start()
@@ -54,11 +64,32 @@
                     return
                 with server._lock:
                     server.runs.append((id, len(body)))
-                time.sleep(server.work_s)
+                began = time.monotonic()
+                kept = self._work(began + server.work_s)
+                with server._lock:
+                    server.worked[id] = began, time.monotonic()
+                if not kept:
+                    self.close_connection = True
+                    return
                 seal = f"{server.id}.{id}"
                 answer = b"done by " + server.id.encode()
+                if self.path.endswith("/large"):
+                    answer += b"." * (server.answer_bytes - len(answer))
                 self._send(200, answer, (("X-Attempt-Id", id), ("X-Server-Seal", seal)))
 
+            def _work(self, until: float) -> bool:
+                """Work, and stop when the connection closes; return whether it stayed open."""
+                while (left := until - time.monotonic()) > 0:
+                    readable, _, _ = select.select([self.connection], [], [], min(left, 0.02))
+                    try:
+                        if readable and not self.connection.recv(1, socket.MSG_PEEK):
+                            return False
+                    except OSError:
+                        return False
+                    if readable:
+                        time.sleep(min(left, 0.02))
+                return True
+
             do_GET = _answer  # noqa: N815
             do_POST = _answer  # noqa: N815
 
@@ -84,7 +115,7 @@
                 "address": self.address,
                 "zone": self.zone,
                 "revision": self.revision,
-                "capacity": 6,
+                "capacity": self.capacity,
                 "state": self.state,
                 "warmupLeftS": 0,
                 "sample": self.sample,
