--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -173,6 +173,11 @@
             what(*args)
         return self.outcome
 
+    @property
+    def seconds_since_order(self) -> float:
+        """The time since the order; negative before it."""
+        return (self.now - START) / SECOND
+
     # Controllers.
 
     def _begin(self) -> None:
@@ -194,7 +199,7 @@
             return
         self.record = record
         if record["state"] != "running" and self.outcome.state == "running":
-            self.outcome.state, self.outcome.after = record["state"], (self.now - START) / SECOND
+            self.outcome.state, self.outcome.after = record["state"], self.seconds_since_order
             if record["state"] == "settled":
                 self.outcome.strays += sum(
                     proxy.open.get(one.id, 0)
@@ -339,7 +344,7 @@
                 return
             done[0] = True
             failed = result is not AttemptResult.SUCCESS
-            late = self.now - arrived_at > AIM
+            late = self.now - arrived_at > self._latency_target(instance)
             self._count_bad_answer(instance, failed, self.now - arrived_at > 4 * WORK)
             if proxy.life == life and proxy.up:
                 proxy.open[instance.id] -= 1
@@ -362,7 +367,7 @@
         self.at(self.now + 500, self._take, instance, route, answer)
 
     def _sent(self, instance: Instance, proxy: Proxy) -> None:
-        after = (self.now - START) / SECOND
+        after = self.seconds_since_order
         if instance.revision == "v1":
             self.outcome.strays += self.outcome.state == "settled" and not self._is_cut_off(proxy)
         else:
@@ -379,7 +384,7 @@
 
     def _count_bad_answer(self, instance: Instance, failed: bool, slow: bool) -> None:
         if instance.revision == "v2" and (failed or slow):
-            after = (self.now - START) / SECOND
+            after = self.seconds_since_order
             self.outcome.bad += 1
             self.outcome.first_bad = self.outcome.first_bad or after
             if self.outcome.bad == 50:
@@ -412,10 +417,19 @@
             faulty = self._is_faulty(instance, route)
             took *= 8 if faulty and self.kind == "slow" else 1
             fails = fails or (faulty and self.kind != "slow")
+        fails = fails or self._fails_besides(instance)
         self.at(self.now + took, self._done, instance, fails, answer)
 
+    def _latency_target(self, instance: Instance) -> int:
+        """Return the time up to which an answer of the instance is in time, in microseconds."""
+        return AIM
+
+    def _fails_besides(self, instance: Instance) -> bool:
+        """Whether a request fails that `kind` and `ordinary` leave sound."""
+        return False
+
     def _is_faulty(self, instance: Instance, route: float) -> bool:
-        half, after = self.random.random() < self.share, (self.now - START) / SECOND
+        half, after = self.random.random() < self.share, self.seconds_since_order
         match self.kind:
             case "errors":
                 return half
--- a/tests/gateway/rollout_evidence_test.py
+++ b/tests/gateway/rollout_evidence_test.py
@@ -11,7 +11,7 @@
 from umbermoor.gateway.rollout.baseline import Baseline
 from umbermoor.gateway.rollout.coordinator import REVERT_EVIDENCE
 from umbermoor.gateway.rollout.excess import SourceCount, evidence, evidence_without_faulty, exceeds
-from umbermoor.gateway.rollout.records import ResponseCounts
+from umbermoor.gateway.rollout.reports import ResponseCounts
 from umbermoor.gateway.rollout.responses import ResponseTest
 from umbermoor.gateway.units import MILLISECOND
 
--- a/umbermoor/gateway/rollout/__init__.py
+++ b/umbermoor/gateway/rollout/__init__.py
@@ -6,7 +6,7 @@
 (`cusum.py`) and proposes the next change of the durable record. The replica set accepts or rejects
 that change (`admission.py`), and the distribution of updates carries it to all proxies. `stages.py`
 defines the stages of a rollout, `judgement.py` the statistics that proxies and controller share,
-`records.py` the JSON of records and reports.
+`records.py` and `reports.py` the JSON of records and reports.
 
 The package imports only `umbermoor.statistics` and the gateway's `effects` and `units`. Source:
 E. Feit, R. Berman, "Test & Roll: Profit-Maximizing A/B Tests", 2019.
--- a/umbermoor/gateway/rollout/admission.py
+++ b/umbermoor/gateway/rollout/admission.py
@@ -11,7 +11,12 @@
 from typing import TypedDict
 
 from umbermoor.gateway.effects import Decision, Outcome
-from umbermoor.gateway.rollout.records import RecordDocument, RolloutState, supersedes
+from umbermoor.gateway.rollout.records import (
+    RecordDocument,
+    RolloutState,
+    is_valid_ramp,
+    supersedes,
+)
 from umbermoor.gateway.rollout.stages import oldest_first
 
 MAX_KNOWN_ORDERS = 32
@@ -96,6 +101,7 @@
 
     Raises:
         TypeError: target or key is not a string.
+        ValueError: the ramp time is not one that an order may have.
 
     >>> first = decide_begin(None, order_request("v2", 12, ["v1", "v2"]), lambda: True)
     >>> first.outcome.value, first.value["from"]
@@ -116,6 +122,8 @@
     target, key, known_orders = request["target"], request["key"], _known_orders(last)
     if not (isinstance(target, str) and isinstance(key, str)):
         raise TypeError
+    if not is_valid_ramp(request["rampS"]):
+        raise ValueError
     if [target, key] in known_orders or (
         not key and any(target == earlier for earlier, _ in known_orders)
     ):
--- a/umbermoor/gateway/rollout/baseline.py
+++ b/umbermoor/gateway/rollout/baseline.py
@@ -87,7 +87,7 @@
         """
         since_order = self.since_order()
         upper_bound = since_order + 2 * _standard_error(since_order, max(1, self.outcomes))
-        return max(self.mean() + self.standard_error(), upper_bound)
+        return min(1.0, max(self.mean() + self.standard_error(), upper_bound))
 
     def since_order(self) -> float:
         """Return the share since the order."""
--- a/umbermoor/gateway/rollout/coordinator.py
+++ b/umbermoor/gateway/rollout/coordinator.py
@@ -20,14 +20,9 @@
 from umbermoor.gateway.rollout.judgement import MIN_OUTCOMES
 from umbermoor.gateway.rollout.records import (
     BaselineShares,
-    OutcomeCounts,
-    ProxyReport,
     RecordChanges,
     RecordDocument,
-    ReportDocument,
-    ResponseCounts,
     RolloutRecord,
-    VersionResponses,
     Vote,
     advanced_to,
     advanced_to_last,
@@ -35,6 +30,13 @@
     settled,
     supersedes,
 )
+from umbermoor.gateway.rollout.reports import (
+    OutcomeCounts,
+    ProxyReport,
+    ReportDocument,
+    ResponseCounts,
+    VersionResponses,
+)
 from umbermoor.gateway.rollout.responses import ResponseTest
 from umbermoor.gateway.rollout.stages import FINAL_STAGE, STAGE_STARTS
 from umbermoor.gateway.units import SECOND
@@ -108,7 +110,7 @@
 
     def apply_baseline_shares(self) -> None:
         """Use the shares in the record, if there are any, from now on."""
-        shares = BaselineShares.read(self.record.document)
+        shares = self.record.baseline_shares
         if shares is not None:
             self.test.baseline.final_share = shares.bad_outcomes
             self.responses.errors.baseline.final_share = shares.error_responses
@@ -133,11 +135,7 @@
     def receive(self, now: int, proxy: str, report: ProxyReport) -> None:
         """Count a proxy's report, unless a later one of that proxy was received before it."""
         earlier = self._comparable_report(proxy, report)
-        if earlier is not None and (
-            report.trial.total < earlier.trial.total
-            or report.baseline.total < earlier.baseline.total
-            or report.responses.baseline.total < earlier.responses.baseline.total
-        ):
+        if earlier is not None and not report.continues(earlier):
             return
         if proxy not in self.reports and len(self.reports) >= MAX_PROXIES:
             del self.reports[min(self.reports, key=lambda name: self.reports[name].at)]
@@ -211,13 +209,17 @@
         """The last order of each service."""
 
     def apply_record(self, now: int, service: str, document: RecordDocument | None) -> None:
-        """Apply the durable record in force; an older one is ignored."""
+        """Apply the durable record in force; an older one is ignored.
+
+        Raises:
+            InvalidRecordError: it is not the JSON of a record; it has no effect.
+        """
         progress = self.orders.get(service)
         if document is None:
             return
+        record = RolloutRecord.read(document)
         if progress is not None and not supersedes(document, progress.record.document):
             return
-        record = RolloutRecord.read(document)
         if progress is None or record.order != progress.record.order:
             progress = self.orders[service] = OrderProgress(record, now, now)
         else:
@@ -228,7 +230,7 @@
         """Receive a proxy's report; a report on an unknown order is ignored.
 
         Raises:
-            KeyError, TypeError, ValueError, IndexError, AttributeError: the report is malformed.
+            KeyError, TypeError, ValueError, AttributeError: the report is malformed.
         """
         progress = self.orders.get(document.get("service", ""))
         if progress is not None and progress.record.order == document["order"]:
--- a/umbermoor/gateway/rollout/cusum.py
+++ b/umbermoor/gateway/rollout/cusum.py
@@ -17,13 +17,12 @@
 from umbermoor.gateway.rollout.excess import SourceCount
 from umbermoor.gateway.rollout.judgement import (
     ASSUMED_BAD_SHARE,
-    MAX_BASELINE,
     MAX_MEAN,
     MIN_OUTCOMES,
     log_likelihood_ratio,
     trails,
 )
-from umbermoor.gateway.rollout.records import OutcomeCounts
+from umbermoor.gateway.rollout.reports import OutcomeCounts
 
 EXCESS_SHARES = (0.1, 0.3, 0.6)
 """The alternative hypotheses: a bad version turns this share of otherwise good outcomes bad."""
@@ -124,7 +123,7 @@
         baseline = self.baseline
         least = ASSUMED_BAD_SHARE if no_baseline else MIN_BASELINE
         high = max(baseline.mean() + 2 * baseline.standard_error(), baseline.current(), least)
-        return min(MAX_BASELINE, high)
+        return min(1.0, high)
 
     def _evaluate(self, pending: _Pending, share: float, upper_bound: float) -> None:
         _, proxy, instance, outcomes, bad = pending
@@ -205,5 +204,6 @@
     """Whether the new version trails an earlier one that would have the expected bad outcomes."""
     if count.outcomes < MIN_OUTCOMES:
         return False
-    mu = min(MAX_MEAN, 1 - count.expected_bad / count.outcomes)
+    expected_share = min(1.0, count.expected_bad / count.outcomes)  # a difference of rounded sums
+    mu = min(MAX_MEAN, 1 - expected_share)
     return trails(1 - count.bad / count.outcomes, count.outcomes, mu)
--- a/umbermoor/gateway/rollout/observer.py
+++ b/umbermoor/gateway/rollout/observer.py
@@ -8,16 +8,12 @@
 from umbermoor.gateway.rollout.records import (
     AttemptResult,
     RecordDocument,
-    ReportDocument,
     RolloutRecord,
     supersedes,
 )
-from umbermoor.gateway.rollout.service_rollout import (
-    NO_TRIAL,
-    ListedInstance,
-    ReportKey,
-    ServiceRollout,
-)
+from umbermoor.gateway.rollout.reports import ReportDocument
+from umbermoor.gateway.rollout.service_rollout import ListedInstance, ReportKey, ServiceRollout
+from umbermoor.gateway.rollout.stages import NO_TRIAL
 from umbermoor.gateway.units import SECOND
 
 UPDATE_TIMEOUT = 3 * SECOND // 2
@@ -75,6 +71,9 @@
             service: the service's name.
             document: the record's JSON; None if there is no record.
             confirmed: whether the updates are complete as of now.
+
+        Raises:
+            InvalidRecordError: it is not the JSON of a record; it has no effect.
         """
         if confirmed:
             self.confirm(now)
@@ -82,9 +81,9 @@
         state.order_known = True
         if document is None:
             return
+        record = RolloutRecord.read(document)
         if state.record is not None and not supersedes(document, state.record.document):
             return
-        record = RolloutRecord.read(document)
         if state.record is None or record.order != state.record.order:
             state = self.services[service] = state.successor(now)
         state.apply(now, record)
--- a/umbermoor/gateway/rollout/outcomes.py
+++ b/umbermoor/gateway/rollout/outcomes.py
@@ -6,11 +6,10 @@
 from umbermoor.gateway.rollout.baseline import Baseline
 from umbermoor.gateway.rollout.judgement import (
     ASSUMED_BAD_SHARE,
-    MAX_BASELINE,
     MIN_OUTCOMES,
     log_likelihood_ratio,
 )
-from umbermoor.gateway.rollout.records import OutcomeCounts, ResponseCounts, VersionResponses
+from umbermoor.gateway.rollout.reports import OutcomeCounts, ResponseCounts, VersionResponses
 
 ALARM_THRESHOLD = log(300)
 """The sum of log-likelihood ratios at which the proxy's own test raises an alarm."""
@@ -73,7 +72,7 @@
         """
         baseline = self.baseline_share
         bad_share = max(baseline.mean(), baseline.since_order(), pooled_share)
-        ordinary_share = min(MAX_BASELINE, ASSUMED_BAD_SHARE + bad_share)
+        ordinary_share = min(1.0, ASSUMED_BAD_SHARE + bad_share)
         ratio = log_likelihood_ratio(ordinary_share, EXCESS_SHARE, 1, not good)
         self.evidence_against = max(0.0, self.evidence_against + ratio)
         if self.evidence_against < ALARM_THRESHOLD:
--- a/umbermoor/gateway/rollout/records.py
+++ b/umbermoor/gateway/rollout/records.py
@@ -1,24 +1,62 @@
-"""The JSON of stored rollout records and of proxies' reports.
+"""The JSON of stored rollout records.
 
 The record is stored in the replicated map under ROLLOUT_KEY_PREFIX followed by the service's name.
 Its keys: order, serial, target, from, rampS, state, stage, elapsed, why, known; and base, the
 earlier version's shares of bad outcomes, once the last stage has begun.
 
-A report has a key `answers` since the revision that counts error responses separately. Without it
-the counts of responses are 0.
+A record outlives the revision that wrote it. A number that lies outside its range is therefore
+replaced by the nearest one inside when the record is read, and written so with its next change.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum, StrEnum
+from math import isnan
 from typing import Any, NamedTuple, TypedDict
 
+from umbermoor.gateway.rollout.stages import FINAL_STAGE
+from umbermoor.gateway.units import SECOND
+
 ROLLOUT_KEY_PREFIX = "rollout/"
 
 RecordDocument = dict[str, Any]
 """The stored record as JSON."""
-ReportDocument = dict[str, Any]
-"""A proxy's report as JSON."""
+
+MAX_SECONDS = 1e9
+"""The longest time in a record or a report; whole microseconds up to it are exact as floats."""
+MIN_RAMP_SECONDS = 1 / SECOND
+
+
+class InvalidRecordError(ValueError):
+    """A stored record lacks a key, or a value is of another type; the text names the key."""
+
+    def __init__(self, key: str) -> None:
+        super().__init__(f"{key}: missing, or of another type")
+
+
+def is_valid_ramp(seconds: Any) -> bool:
+    """Whether an order may have this ramp time."""
+    return _is_number(seconds) and 0 < seconds <= MAX_SECONDS
+
+
+def _is_number(value: Any) -> bool:
+    return type(value) is int or (type(value) is float and not isnan(value))
+
+
+def _typed(document: Mapping[str, Any], key: str, of_type: type) -> Any:
+    """Return the value of a key, which must have this type."""
+    value = document.get(key)
+    if type(value) is not of_type:
+        raise InvalidRecordError(key)
+    return value
+
+
+def _limited(document: Mapping[str, Any], key: str, least: float, most: float) -> Any:
+    """Return the number of a key, or the nearest one from `least` to `most`."""
+    value: Any = document.get(key)
+    if not _is_number(value):
+        raise InvalidRecordError(key)
+    return min(max(value, least), most)
 
 
 class RolloutState(StrEnum):
@@ -81,20 +119,25 @@
         """Read a record from its JSON.
 
         Raises:
-            KeyError: a key is missing.
+            InvalidRecordError: it is not the JSON of a record.
         """
         return cls(
             document,
-            document["order"],
-            document["serial"],
-            document["target"],
-            document["from"],
-            document["rampS"],
-            document["state"],
-            document["stage"],
-            document["elapsed"],
+            _typed(document, "order", int),
+            _typed(document, "serial", int),
+            _typed(document, "target", str),
+            _typed(document, "from", list),
+            _limited(document, "rampS", MIN_RAMP_SECONDS, MAX_SECONDS),
+            _typed(document, "state", str),
+            int(_limited(document, "stage", 0, FINAL_STAGE)),
+            _limited(document, "elapsed", 0, MAX_SECONDS),
         )
 
+    @property
+    def baseline_shares(self) -> "BaselineShares | None":
+        """The earlier version's shares when it was last used; None if they are not known."""
+        return BaselineShares.read(self.document)
+
     @property
     def running(self) -> bool:
         """Whether the order is neither settled nor reverted."""
@@ -102,8 +145,12 @@
 
     def next(self, changes: Mapping[str, Any], elapsed_seconds: float) -> "RolloutRecord":
         """Return the next record; `changes` are keyed as in the JSON."""
+        limited: RecordDocument = {"rampS": self.ramp_seconds, "stage": self.stage}
+        if "base" in self.document:
+            shares = self.baseline_shares
+            limited["base"] = None if shares is None else list(shares)
         numbered = {"serial": self.serial + 1, "elapsed": elapsed_seconds}
-        return RolloutRecord.read({**self.document, **changes, **numbered})
+        return RolloutRecord.read({**self.document, **limited, **changes, **numbered})
 
 
 class RecordChanges(TypedDict, total=False):
@@ -142,180 +189,15 @@
 
     @classmethod
     def read(cls, document: RecordDocument) -> "BaselineShares | None":
-        """Read the shares from a record; None if it has none.
-
-        Raises:
-            TypeError: they are not the JSON of shares.
-        """
+        """Read the shares from a record, each limited to 0 to 1; None if it has no such shares."""
         shares = document.get("base")
-        return None if shares is None else cls(*shares)
+        if not isinstance(shares, list) or len(shares) != len(cls._fields):
+            return None
+        if not all(map(_is_number, shares)):
+            return None
+        return cls(*(min(max(share, 0.0), 1.0) for share in shares))
 
 
 def advanced_to_last(stage: int, shares: BaselineShares) -> RecordChanges:
     """Return the changes that move an order to the last stage."""
     return {"stage": stage, "base": [round(share, 6) for share in shares]}
-
-
-@dataclass(slots=True)
-class OutcomeCounts:
-    """Counts of attempts' outcomes: all, the good ones and the failed ones."""
-
-    total: int = 0
-    good: int = 0
-    failed: int = 0
-
-    @property
-    def bad(self) -> int:
-        """The outcomes that failed or came late."""
-        return self.total - self.good
-
-    def add(self, good: bool, failed: bool) -> None:
-        """Count one outcome."""
-        self.total += 1
-        self.good += good
-        self.failed += failed
-
-    def add_difference(self, later: "OutcomeCounts", earlier: "OutcomeCounts") -> None:
-        """Add the difference between an earlier and a later state of other counts."""
-        self.total += later.total - earlier.total
-        self.good += later.good - earlier.good
-        self.failed += later.failed - earlier.failed
-
-    def to_json(self) -> list[int]:
-        """Return the counts as they are written in JSON."""
-        return [self.total, self.good, self.failed]
-
-
-@dataclass(slots=True)
-class ResponseCounts:
-    """Counts of complete responses: all, those with a server error (5xx), and other late ones.
-
-    Unlike OutcomeCounts, they include nothing that went wrong on the way between proxy and
-    instance. Responses to retries, and those of instances that are warming up, are included too,
-    but not counted as late.
-    """
-
-    total: int = 0
-    errors: int = 0
-    late: int = 0
-
-    @property
-    def bad(self) -> int:
-        """The responses that were errors or late."""
-        return self.errors + self.late
-
-    def add(self, error: bool, late: bool) -> None:
-        """Count one response."""
-        self.total += 1
-        self.errors += error
-        self.late += late and not error
-
-    def since(self, earlier: "ResponseCounts") -> "ResponseCounts":
-        """Return the difference between an earlier state of the counts and this one."""
-        return ResponseCounts(
-            self.total - earlier.total, self.errors - earlier.errors, self.late - earlier.late
-        )
-
-    def to_json(self) -> list[int]:
-        """Return the counts as they are written in JSON."""
-        return [self.total, self.errors, self.late]
-
-
-@dataclass(slots=True)
-class VersionResponses:
-    """The responses that one proxy received from both versions."""
-
-    trial: dict[str, ResponseCounts]
-    """By instance of the new version."""
-    baseline: ResponseCounts
-
-    @classmethod
-    def read(cls, document: Mapping[str, Any] | None) -> "VersionResponses":
-        """Read the counts from their JSON; None if the proxy is of an earlier revision.
-
-        Raises:
-            KeyError, TypeError: it is not the JSON of counts.
-        """
-        if document is None:
-            return cls({}, ResponseCounts())
-        trial = {name: ResponseCounts(*counts) for name, counts in document["trial"].items()}
-        return cls(trial, ResponseCounts(*document["base"]))
-
-    def to_document(self) -> dict[str, Any]:
-        """Return the counts as JSON."""
-        trial = {name: counts.to_json() for name, counts in self.trial.items()}
-        return {"trial": trial, "base": self.baseline.to_json()}
-
-
-@dataclass(slots=True)
-class ProxyReport:
-    """A proxy's report on an order.
-
-    Counts are totals from `since` on, so that a lost report does no harm.
-    """
-
-    service: str
-    target: str
-    order: int
-    stage: int
-    """The stage that the proxy acts by; -1 if it sends nothing to the trial."""
-    since: int
-    """When the proxy began to count; identifies this series of counts."""
-    elapsed_seconds: float
-    vote: str | None
-    trial: OutcomeCounts
-    baseline: OutcomeCounts
-    by_instance: dict[str, list[int]]
-    """The new version's outcomes and bad outcomes, by instance."""
-    previous_in_flight: int
-    """Attempts in flight at previous versions."""
-    requests: int
-    """Clients' requests since the order."""
-    previous_instances: int
-    warm_instances: int
-    """Instances of the new version whose warm-up time is over."""
-    responses: VersionResponses
-
-    @classmethod
-    def read(cls, document: ReportDocument) -> "ProxyReport":
-        """Read a report from its JSON.
-
-        Raises:
-            KeyError, TypeError, ValueError, IndexError: it is not the JSON of a report.
-        """
-        previous_instances, warm_instances = document["listed"]
-        return cls(
-            document["service"],
-            document["target"],
-            document["order"],
-            document["stage"],
-            document["since"],
-            document["elapsed"],
-            document["vote"],
-            OutcomeCounts(*document["counts"]["trial"]),
-            OutcomeCounts(*document["counts"]["base"]),
-            document["each"],
-            document["before"],
-            document["asked"],
-            previous_instances,
-            warm_instances,
-            VersionResponses.read(document.get("answers")),
-        )
-
-    def to_document(self) -> ReportDocument:
-        """Return the report as JSON."""
-        return {
-            "service": self.service,
-            "target": self.target,
-            "order": self.order,
-            "stage": self.stage,
-            "since": self.since,
-            "elapsed": self.elapsed_seconds,
-            "vote": None if self.vote is None else str(self.vote),
-            "counts": {"trial": self.trial.to_json(), "base": self.baseline.to_json()},
-            "each": {name: list(counts) for name, counts in self.by_instance.items()},
-            "before": self.previous_in_flight,
-            "asked": self.requests,
-            "listed": [self.previous_instances, self.warm_instances],
-            "answers": self.responses.to_document(),
-        }
--- a/umbermoor/gateway/rollout/responses.py
+++ b/umbermoor/gateway/rollout/responses.py
@@ -11,7 +11,7 @@
 
 from umbermoor.gateway.rollout.baseline import BACKLOG_DELAY, EVALUATION_DELAY, Baseline
 from umbermoor.gateway.rollout.excess import SourceCount, evidence_without_faulty
-from umbermoor.gateway.rollout.records import ResponseCounts
+from umbermoor.gateway.rollout.reports import ResponseCounts
 
 ASSUMED_SHARE, ASSUMED_RESPONSES = 0.002, 200.0
 """The share of bad responses that is assumed of the earlier version, and the weight of that."""
--- a/umbermoor/gateway/rollout/service_rollout.py
+++ b/umbermoor/gateway/rollout/service_rollout.py
@@ -19,14 +19,14 @@
 from umbermoor.gateway.rollout.outcomes import OrderOutcomes
 from umbermoor.gateway.rollout.records import (
     AttemptResult,
-    BaselineShares,
-    ProxyReport,
     RolloutRecord,
     RolloutState,
     Vote,
 )
+from umbermoor.gateway.rollout.reports import ProxyReport
 from umbermoor.gateway.rollout.stages import (
     FINAL_STAGE,
+    NO_TRIAL,
     STAGE_SHARES,
     STEP_LEASE,
     TRIAL_SHARE,
@@ -52,8 +52,6 @@
 EJECTION_TIME = 2 * SECOND
 BACK_OFF_TIME = SECOND * 3 // 2
 """How long a proxy stops using the trial after its own test raised an alarm."""
-NO_TRIAL = -1
-"""The stage of a proxy that sends nothing to the trial."""
 
 
 class ListedInstance(NamedTuple):
@@ -356,7 +354,7 @@
 
         This acts without the controllers: they may be changing their leader just now.
         """
-        shares = BaselineShares.read(record.document)
+        shares = record.baseline_shares
         if self.outcomes.raises_alarm(good, 0.0 if shares is None else shares.bad_outcomes):
             self.no_trial_until = now + BACK_OFF_TIME
 
--- a/umbermoor/gateway/rollout/stages.py
+++ b/umbermoor/gateway/rollout/stages.py
@@ -22,6 +22,8 @@
 STAGE_STARTS = (0.0, 0.67, 0.715, 0.755)
 """Stages begin at these fractions of the ramp time."""
 FINAL_STAGE = len(STAGE_SHARES) - 1
+NO_TRIAL = -1
+"""The stage of a proxy that sends nothing to the trial."""
 STEP_LEASE = 0.075
 """How long a proxy acts by a stage between trial and final, as a fraction of the ramp time.
 
--- a/umbermoor/gateway/server/controller.py
+++ b/umbermoor/gateway/server/controller.py
@@ -28,7 +28,11 @@
 from umbermoor.gateway.replication.store import Store
 from umbermoor.gateway.rollout.admission import stage_write
 from umbermoor.gateway.rollout.coordinator import RolloutCoordinator
-from umbermoor.gateway.rollout.records import ROLLOUT_KEY_PREFIX
+from umbermoor.gateway.rollout.records import (
+    ROLLOUT_KEY_PREFIX,
+    InvalidRecordError,
+    RecordDocument,
+)
 from umbermoor.gateway.server import events
 from umbermoor.gateway.server.clocks import Clock, system_clock
 from umbermoor.gateway.server.configuration_calls import ConfigurationCalls
@@ -218,9 +222,14 @@
         self.publisher.records_committed(records)
         for key, record in records.items():
             if key.startswith(ROLLOUT_KEY_PREFIX):
-                self.rollouts.apply_record(
-                    self.clock(), key.removeprefix(ROLLOUT_KEY_PREFIX), record
-                )
+                self._apply_rollout(key.removeprefix(ROLLOUT_KEY_PREFIX), record)
+
+    def _apply_rollout(self, service: str, record: RecordDocument) -> None:
+        """Apply a rollout record; one that cannot be read leaves all other services as they are."""
+        try:
+            self.rollouts.apply_record(self.clock(), service, record)
+        except InvalidRecordError as error:
+            events.event("rollout_record_invalid", service=service, reason=error)
 
     def _store_lost(self) -> None:
         """End the process: after its restart the disk counts as lost and the peers refill it."""
--- a/umbermoor/gateway/server/controller_link.py
+++ b/umbermoor/gateway/server/controller_link.py
@@ -14,7 +14,7 @@
 from umbermoor.gateway.distribution.subscriber import Subscriber, Update
 from umbermoor.gateway.membership.failure_detector import FailureDetector
 from umbermoor.gateway.rollout.observer import RolloutObserver
-from umbermoor.gateway.rollout.records import ROLLOUT_KEY_PREFIX
+from umbermoor.gateway.rollout.records import ROLLOUT_KEY_PREFIX, InvalidRecordError
 from umbermoor.gateway.routing.route_table import RouteTable
 from umbermoor.gateway.server.client_connections import ClientConnections
 from umbermoor.gateway.server.connections import ConnectionPool
@@ -137,7 +137,11 @@
             if not key.startswith(ROLLOUT_KEY_PREFIX):
                 continue
             service = key[len(ROLLOUT_KEY_PREFIX) :]
-            self._rollouts.apply_record(now, service, record, update.confirmed)
+            try:
+                self._rollouts.apply_record(now, service, record, update.confirmed)
+            except InvalidRecordError as error:
+                event("rollout_record_invalid", service=service, reason=error)
+                continue
             stage = record["state"], record["target"], record["stage"]
             if self._logged_stages.get(key) != stage:
                 self._logged_stages[key] = stage
--- a/umbermoor/gateway/server/rollout_calls.py
+++ b/umbermoor/gateway/server/rollout_calls.py
@@ -1,6 +1,6 @@
 """The operator API for rollouts: /Rollouts.Begin and /Rollouts.Read."""
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from umbermoor.gateway.api.http_api import (
     ApiRequest,
@@ -12,7 +12,7 @@
 from umbermoor.gateway.discovery.registry import READY, SILENT, InstanceRegistry
 from umbermoor.gateway.effects import CallResult, Outcome, Status
 from umbermoor.gateway.rollout.admission import decide_begin, order_request
-from umbermoor.gateway.rollout.records import ROLLOUT_KEY_PREFIX
+from umbermoor.gateway.rollout.records import MAX_SECONDS, ROLLOUT_KEY_PREFIX, is_valid_ramp
 from umbermoor.gateway.server import events
 from umbermoor.gateway.server.call_results import (
     HTTP_STATUS,
@@ -49,16 +49,13 @@
             return error_response(400, "service, target: not texts")
         if not isinstance(key, str) or len(key) > MAX_KEY_LENGTH:
             return error_response(400, f"key: not a text of {MAX_KEY_LENGTH} characters at most")
-        if not target or not _is_positive(ramp_s):
-            return error_response(422, "target: empty, or rampS: not a number above 0")
+        if not target:
+            return error_response(422, "target: empty")
+        if not is_valid_ramp(ramp_s):
+            return error_response(422, f"rampS: not a number above 0, {MAX_SECONDS:.0f} at most")
         return cls(service, target, ramp_s, key)
 
 
-def _is_positive(value: Any) -> bool:
-    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-    return is_number and 0 < value < float("inf")
-
-
 class RolloutCalls:
     """HTTP handlers for rollouts."""
 
