--- a/benchmarks/extreme_rollouts.py
+++ b/benchmarks/extreme_rollouts.py
@@ -17,7 +17,7 @@
 from statistics import median
 from typing import Any
 
-from benchmarks.rollouts import AIM, Fleet, Instance, Outcome
+from benchmarks.rollouts import AIM, Fleet, Instance, Outcome, Proxy
 from umbermoor.gateway.rollout.records import RecordDocument
 
 NO_TIME = 0  # a latency target that no answer meets, in microseconds
@@ -77,14 +77,27 @@
     def _fails_besides(self, instance: Instance) -> bool:
         return self.extreme.fault is Fault.ERRORS and self._is_bad(instance)
 
-    def _latency_target(self, instance: Instance) -> int:
+    def _is_late(self, proxy: Proxy, instance: Instance, took: int) -> bool:
         is_late = self.extreme.fault is Fault.LATE and self._is_bad(instance)
-        return NO_TIME if is_late else AIM
+        return is_late or super()._is_late(proxy, instance, took)
 
     def _put(self, record: RecordDocument) -> None:
         super()._put(self._change_record(record))
 
 
+class MovedTargetFleet(Fleet):
+    """A fleet in which the latency target moves below what any answer takes, during the order."""
+
+    def __init__(self, kind: str, seed: int, calm: bool = False) -> None:
+        """Create the fleet; `kind` is the kind of the new version, see `benchmarks.rollouts`."""
+        super().__init__(kind, seed, PROXIES, REQUESTS_PER_S, RAMP_S, calm)
+        self.moved_at = self.random.uniform(0.02, 0.9) * RAMP_S
+        """Seconds after the order."""
+
+    def _latency_target(self) -> int:
+        return AIM if self.seconds_since_order < self.moved_at else NO_TIME
+
+
 def one_run(arguments: tuple[Any, ...]) -> Outcome:
     """Play one rollout."""
     return ExtremeFleet(*arguments).play()
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -38,6 +38,7 @@
 SHARED = "good_shared"
 INSTANCES = 8  # of each version
 ORDINARY_ERRORS = 0.004  # share of requests that any version fails
+ROUTE = "r-maps"
 SERVICE, WORK, AIM, DEADLINE, SLOTS, QUEUE = "maps", 60 * MS, 250 * MS, 600 * MS, 6, 12
 START = 4 * SECOND  # when the rollout is ordered; old instances are warm by then
 
@@ -344,7 +345,7 @@
                 return
             done[0] = True
             failed = result is not AttemptResult.SUCCESS
-            late = self.now - arrived_at > self._latency_target(instance)
+            late = self._is_late(proxy, instance, self.now - arrived_at)
             self._count_bad_answer(instance, failed, self.now - arrived_at > 4 * WORK)
             if proxy.life == life and proxy.up:
                 proxy.open[instance.id] -= 1
@@ -420,10 +421,14 @@
         fails = fails or self._fails_besides(instance)
         self.at(self.now + took, self._done, instance, fails, answer)
 
-    def _latency_target(self, instance: Instance) -> int:
-        """Return the time up to which an answer of the instance is in time, in microseconds."""
+    def _latency_target(self) -> int:
+        """Return the route's target in the configuration that is in force, in microseconds."""
         return AIM
 
+    def _is_late(self, proxy: Proxy, instance: Instance, took: int) -> bool:
+        """Whether an answer that took so long is late for the rollout."""
+        return took > proxy.rollouts.latency_target(SERVICE, ROUTE, self._latency_target())
+
     def _fails_besides(self, instance: Instance) -> bool:
         """Whether a request fails that `kind` and `ordinary` leave sound."""
         return False
--- a/tests/gateway/rollout_extremes_test.py
+++ b/tests/gateway/rollout_extremes_test.py
@@ -12,7 +12,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from benchmarks.extreme_rollouts import RAMP_S, BadVersions, Extreme, ExtremeFleet, Fault
+from benchmarks.extreme_rollouts import (
+    RAMP_S,
+    BadVersions,
+    Extreme,
+    ExtremeFleet,
+    Fault,
+    MovedTargetFleet,
+)
 from tests.gateway.control.replacements import ReplacementWorld
 from umbermoor.gateway.api.http_api import ApiRequest, ApiResponse
 from umbermoor.gateway.rollout import SECOND, RolloutCoordinator, RolloutObserver
@@ -34,6 +41,10 @@
 
 SERVICE = "maps"
 HUGE = 10**400  # JSON has no limit; as a float it overflows
+STORED = first_record(None, order_request("v2", 12, ["v1"])) | {
+    "stage": FINAL_STAGE,
+    "elapsed": 9.1,
+}
 EXTREMES = [Extreme(*case) for case in product(BadVersions, Fault)]
 
 
@@ -57,6 +68,30 @@
         assert ExtremeFleet(extreme, seed).play().state == extreme.expected_state
 
 
+def test_a_setpoint_that_moves_during_an_order_speaks_against_no_version():
+    """Guards against sound versions sent back because both were late from some moment on."""
+    for seed in range(8):
+        outcome = MovedTargetFleet("good", seed, calm=True).play()
+        assert (outcome.state, outcome.after <= RAMP_S) == ("settled", True), outcome
+    for seed in range(4):
+        outcome = MovedTargetFleet("errors", seed, calm=True).play()
+        assert (outcome.state, outcome.after <= RAMP_S) == ("reverted", True), outcome
+
+
+def test_the_latency_target_of_a_route_stays_until_its_order_has_ended():
+    proxy, targets = RolloutObserver(), []
+    for record, configured in (
+        (None, 250_000),
+        (STORED, 100_000),
+        (STORED, 50_000),
+        (STORED | {"serial": 1, "state": "settled"}, 50_000),
+        (STORED | {"order": 2}, 70_000),
+    ):
+        proxy.apply_record(0, SERVICE, record)
+        targets.append(proxy.latency_target(SERVICE, "route", configured))
+    assert targets == [250_000, 100_000, 100_000, 50_000, 70_000]
+
+
 def with_shares_above_1(record):
     """Return a record as earlier revisions wrote it where nearly all outcomes were bad."""
     return record | {"base": [1.002, 1.003, 1.003]} if "base" in record else record
@@ -120,12 +155,6 @@
     assert log_likelihood_ratio(0.05, 0.6, outcomes=100, bad=95) > 0
 
 
-STORED = first_record(None, order_request("v2", 12, ["v1"])) | {
-    "stage": FINAL_STAGE,
-    "elapsed": 9.1,
-}
-
-
 @pytest.mark.parametrize(
     ("stored", "read"),
     [
--- a/umbermoor/gateway/rollout/observer.py
+++ b/umbermoor/gateway/rollout/observer.py
@@ -122,6 +122,19 @@
         state = self._service(service)
         return state.may_send(self._stage(now, state), version)
 
+    def latency_target(self, service: str, route: str, configured: int) -> int:
+        """Return the latency target by which the service's outcomes on a route are judged.
+
+        During a rollout it stays what it was at the first outcome after the order, so that both
+        versions, and all stages, are judged by the same measure.
+
+        Args:
+            service: the service's name.
+            route: the route's name.
+            configured: the target in the configuration of the request, in microseconds.
+        """
+        return self._service(service).latency_target(route, configured)
+
     def attempt_sent(self, now: int, service: str, version: str) -> None:
         """Note that an attempt was sent to an instance of this version."""
         self._service(service).attempt_sent(version)
@@ -145,7 +158,7 @@
             version: the instance's version.
             instance: its id.
             listed_at: when this proxy first had it listed.
-            in_time: whether it met the route's latency target.
+            in_time: whether it met the latency target, see `latency_target`.
             result: how it ended.
             retry: whether its outcome is not counted: it was a retry, or was never executed. Its
                 response, if there is one, is counted all the same.
@@ -171,8 +184,8 @@
             version: the instance's version.
             instance: its id.
             listed_at: when this proxy first had it listed.
-            in_time: whether it could still have met the route's latency target; if not, it is
-                counted as late.
+            in_time: whether it could still have met the latency target; if not, it is counted as
+                late.
             retry: whether it is not counted.
         """
         state = self._service(service)
--- a/umbermoor/gateway/rollout/service_rollout.py
+++ b/umbermoor/gateway/rollout/service_rollout.py
@@ -112,6 +112,8 @@
     in_flight: Counter[str] = field(default_factory=Counter)
     """Attempts in flight, by version."""
     outcomes: OrderOutcomes = field(default_factory=OrderOutcomes)
+    latency_targets: dict[str, int] = field(default_factory=dict)
+    """The targets by which outcomes are judged during the order, by route; in microseconds."""
     failures: dict[str, ConsecutiveFailures] = field(default_factory=dict)
     no_trial_until: int = 0
     request_rate: float = 0.0
@@ -282,6 +284,10 @@
         else:
             self.trial_credit -= 1
 
+    def latency_target(self, route: str, configured: int) -> int:
+        """Return the target to judge outcomes by, see `RolloutObserver.latency_target`."""
+        return self.latency_targets.setdefault(route, configured) if self.running else configured
+
     def attempt_ended(
         self,
         now: int,
--- a/umbermoor/gateway/server/request_handler.py
+++ b/umbermoor/gateway/server/request_handler.py
@@ -287,7 +287,7 @@
             instance.entry.revision,
             instance.id,
             instance.listed_at,
-            duration_us <= attempt.request.route.latency_target_us,
+            duration_us <= self._rollout_target_us(attempt),
             _rollout_result(outcome, failed),
             attempt.number > 1 or outcome in NOT_EXECUTED,
         )
@@ -302,10 +302,16 @@
             instance.entry.revision,
             instance.id,
             instance.listed_at,
-            waited_us <= attempt.request.route.latency_target_us,
+            waited_us <= self._rollout_target_us(attempt),
             attempt.number > 1,
         )
 
+    def _rollout_target_us(self, attempt: Attempt) -> int:
+        """Return the latency target by which a rollout judges an attempt, in microseconds."""
+        route = attempt.request.route
+        service = attempt.instance.entry.service
+        return self.rollouts.latency_target(service, route.name, route.latency_target_us)
+
     def _cancel_unsent(self, active: ActiveRequest) -> None:
         """Cancel attempts of which nothing was written, so that they were surely not executed."""
         for attempt in list(active.attempts):
