--- a/umbermoor/gateway/server/client_connection.py
+++ b/umbermoor/gateway/server/client_connection.py
@@ -58,7 +58,7 @@
         self.transport: asyncio.Transport = None  # type: ignore[assignment]  # until connected
         self.reader = Reader(
             clients.buffers,
-            max_body_bytes=clients.max_body_bytes,
+            limits=clients.message_limits,
             single_value_headers=SINGLE_VALUE_HEADERS,
         )
         self.pending: list[PendingRequest] = []  # oldest first
@@ -89,6 +89,7 @@
             self.lingers = True
             return
         now = self.last_activity = self.clients.clock()
+        self.reader.limits = self.clients.message_limits
         first_byte_at = now if self.request_began_at is None else self.request_began_at
         messages: list[Request | Fault] = self.reader.feed(data)  # type: ignore[assignment]
         if not self.reader.mid_message:
--- a/umbermoor/gateway/server/client_connections.py
+++ b/umbermoor/gateway/server/client_connections.py
@@ -6,15 +6,19 @@
 from umbermoor.gateway.routing.route_table import ClientLimits
 from umbermoor.gateway.server.client_connection import ClientConnection
 from umbermoor.gateway.server.drain import Drain
+from umbermoor.gateway.server.events import event
 from umbermoor.gateway.server.invariants import Invariants
 from umbermoor.gateway.server.request_audit import RequestAudit, UnansweredCause
 from umbermoor.gateway.units import SECOND
 from umbermoor.http1.buffers import Buffers
+from umbermoor.http1.reader import MessageLimits
 
 if TYPE_CHECKING:
     from umbermoor.gateway.server.request_handler import RequestHandler
 
-MAX_BODY_BYTES = 8 << 20  # of a request, which is buffered completely before it is forwarded
+# Of a request, which is buffered completely before it is forwarded. A configuration may set less.
+MAX_HEAD_BYTES = 1 << 20
+MAX_BODY_BYTES = 8 << 20
 MAX_CONNECTIONS = 2500  # bounds what untrusted peers can open
 # A connection is closed this long after the idle time announced to the client.
 IDLE_GRACE_S = 1.0
@@ -33,7 +37,7 @@
         keep_alive_s: Idle time in seconds that is announced to clients.
         idle_timeout_s: Idle time in seconds after which a connection is closed.
         header_timeout_s: Time in seconds that the head of a request may take to arrive.
-        max_body_bytes: Maximum size of a request body.
+        message_limits: Limits of the requests whose heads are read from now on.
     """
 
     def __init__(
@@ -52,7 +56,8 @@
         self.keep_alive_s = 10
         self.idle_timeout_s = 15.0
         self.header_timeout_s = 3.0
-        self.max_body_bytes = MAX_BODY_BYTES
+        self.message_limits = _message_limits(ClientLimits())
+        self._configured = ClientLimits()
 
     def accept(self) -> ClientConnection:
         """Return the protocol for a new connection."""
@@ -66,12 +71,19 @@
         return True
 
     def apply_limits(self, limits: ClientLimits) -> None:
-        """Apply the limits of a configuration."""
+        """Apply the limits of a configuration.
+
+        They hold for open connections too: idle and header timeouts from the next sweep on, sizes
+        for the requests whose heads are read from now on.
+        """
         idle_s = limits.idle_timeout_us / SECOND
         self.idle_timeout_s = idle_s + IDLE_GRACE_S
         self.keep_alive_s = max(1, round(idle_s) - 1)
         self.header_timeout_s = limits.header_timeout_us / SECOND
-        self.max_body_bytes = min(MAX_BODY_BYTES, limits.body_bytes)
+        self.message_limits = _message_limits(limits)
+        if limits != self._configured:
+            self._configured = limits
+            _log_lower_limits(limits, self.message_limits)
 
     def refuse_new_requests(self) -> None:
         """Accept no further requests on connections with one in progress.
@@ -102,3 +114,21 @@
         for connection in list(self.connections):
             if connection.is_idle():
                 connection.transport.close()
+
+
+def _message_limits(limits: ClientLimits) -> MessageLimits:
+    """Return the configured sizes, or the program's own where these are smaller."""
+    return MessageLimits(
+        min(MAX_HEAD_BYTES, max(0, limits.header_bytes)),
+        min(MAX_BODY_BYTES, max(0, limits.body_bytes)),
+    )
+
+
+def _log_lower_limits(configured: ClientLimits, in_force: MessageLimits) -> None:
+    """Log each limit that is lower than the configured one."""
+    for key, wanted, bound in (
+        ("headerBytes", configured.header_bytes, in_force.head_bytes),
+        ("bodyBytes", configured.body_bytes, in_force.body_bytes),
+    ):
+        if bound < wanted:
+            event("client_limit_lower", key=key, configured=wanted, in_force=bound)
--- a/umbermoor/gateway/server/connections.py
+++ b/umbermoor/gateway/server/connections.py
@@ -22,7 +22,7 @@
 from umbermoor.gateway.balancing.instance import Instance
 from umbermoor.gateway.server.peer_transport import tune_socket
 from umbermoor.http1.buffers import Buffers
-from umbermoor.http1.reader import Fault, Reader, Response
+from umbermoor.http1.reader import Fault, MessageLimits, Reader, Response
 
 if TYPE_CHECKING:
     from umbermoor.gateway.server.active_request import ActiveRequest
@@ -142,7 +142,7 @@
         self.reader = Reader(
             pool.buffers,
             responses=True,
-            max_body_bytes=MAX_BODY_BYTES,
+            limits=MessageLimits(body_bytes=MAX_BODY_BYTES),
             single_value_headers=SINGLE_VALUE_HEADERS,
         )
         self.idle_since = 0.0
--- a/umbermoor/http1/buffers.py
+++ b/umbermoor/http1/buffers.py
@@ -7,7 +7,6 @@
 MAX_HEAD_BYTES = 16 * 1024  # start line and header fields
 MAX_BODY_BYTES = 64 * 1024
 CHUNK_FRAMING_BYTES = 16 * 1024  # chunk sizes, extensions and trailer fields of one message
-MAX_MESSAGE_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES + CHUNK_FRAMING_BYTES
 BUFFER_BYTES = 4 * 1024  # a usual message fits into one buffer
 BUFFERS_MEMORY_DIVISOR = 8  # buffers may take the process's memory divided by this
 MAX_FREE_BUFFERS = 256  # kept for reuse; further ones are left to the garbage collector
--- a/umbermoor/http1/reader.py
+++ b/umbermoor/http1/reader.py
@@ -9,9 +9,9 @@
 from typing import NamedTuple
 
 from umbermoor.http1.buffers import (
+    CHUNK_FRAMING_BYTES,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
-    MAX_MESSAGE_BYTES,
     Buffers,
     ByteQueue,
 )
@@ -29,6 +29,18 @@
 _CONTROL_CHARACTERS = bytes({*range(32), 127} - {*b"\t\r\n"})  # allowed in no line of a message
 
 
+class MessageLimits(NamedTuple):
+    """Limits of a message, in bytes."""
+
+    head_bytes: int = MAX_HEAD_BYTES  # start line, header fields, and the empty line behind them
+    body_bytes: int = MAX_BODY_BYTES
+
+    @property
+    def message_bytes(self) -> int:
+        """The limit of what is received of a message, with the framing of chunks."""
+        return self.head_bytes + self.body_bytes + CHUNK_FRAMING_BYTES
+
+
 class Fault(NamedTuple):
     """The stream is malformed or over a limit, and can't be read further."""
 
@@ -72,6 +84,8 @@
 Message = Request | Response
 ReadResult = Request | Response | BodyPart | Fault
 
+DEFAULT_LIMITS = MessageLimits()
+
 # Status (0 in a request), method and target (empty in a response), headers, keep_alive. A plain
 # tuple: one is made for each message on the hot path, and no other module sees it.
 _Head = tuple[int, str, str, dict[str, str], bool]
@@ -85,11 +99,15 @@
         responses: whether responses are read; requests otherwise.
         stream_body: whether the bodies of 200 responses are returned as they arrive, as `BodyPart`;
             bodies of errors are returned whole, so that none is taken for content of the stream.
-        max_body_bytes: limit of a body.
+        limits: limits of the messages.
         single_value_headers: fields (lower-case) that may occur once. If given, the reader is
             strict: it refuses whatever another HTTP implementation might read differently, to
             prevent request smuggling (RFC 9112, section 11.2). If None, it accepts what the front
             in service has always accepted.
+
+    Attributes:
+        limits: Limits of the messages whose heads are read from now on; they may be replaced at any
+            time. A message whose head was read before keeps the limits of that moment.
     """
 
     def __init__(
@@ -97,13 +115,13 @@
         buffers: Buffers,
         responses: bool = False,
         stream_body: bool = False,
-        max_body_bytes: int = MAX_BODY_BYTES,
+        limits: MessageLimits = DEFAULT_LIMITS,
         single_value_headers: frozenset[str] | None = None,
     ) -> None:
         self.bodiless = False  # the next response answers a HEAD request
+        self.limits = limits
+        self._message_limits = limits  # of the message whose head was read last
         self._responses, self._stream_body = responses, stream_body
-        self._max_body_bytes = max_body_bytes
-        self._max_message_bytes = MAX_MESSAGE_BYTES - MAX_BODY_BYTES + max_body_bytes
         self._strict = single_value_headers is not None
         self._single_value_headers = single_value_headers or frozenset()
         self._received = ByteQueue(buffers)
@@ -145,14 +163,15 @@
         found: list[ReadResult] = []
         rest = memoryview(data)
         while rest and not self._failed:
-            room = self._max_message_bytes - self._received.size
+            limits = self.limits if self._head is None else self._message_limits
+            room = max(0, limits.message_bytes - self._received.size)
             part, rest = rest[:room], rest[room:]
             fault = (
                 self._parse(found)
                 if self._received.append(part)
                 else Fault(503, "no memory left for it")
             )
-            if fault is None and self._received.size == self._max_message_bytes:
+            if fault is None and self._received.size >= limits.message_bytes:
                 fault = Fault(413, "message too large")
             if fault is not None:
                 found.append(fault)
@@ -205,20 +224,22 @@
     def _read_head(self) -> Fault | None:
         """Set `_head` once all of it is received."""
         # Of the scanned bytes only the last three are copied again: a separator may be split.
-        data = self._received.copy(0, MAX_HEAD_BYTES) if not self._scanned else b""
+        max_bytes = self.limits.head_bytes
+        data = self._received.copy(0, max_bytes) if not self._scanned else b""
         while data[:2] == b"\r\n" and not self._responses:
             # A server ignores empty lines before a request line (RFC 9112, section 2.2).
             empty_lines = _EMPTY_LINES.match(data)
             self._consume(empty_lines.end() if empty_lines else 0)
-            data = self._received.copy(0, MAX_HEAD_BYTES)
+            data = self._received.copy(0, max_bytes)
         if data:
             end = data.find(b"\r\n\r\n")
         else:
-            end = self._received.find(b"\r\n\r\n", self._scanned, MAX_HEAD_BYTES)
+            end = self._received.find(b"\r\n\r\n", self._scanned, max_bytes)
         if end < 0:
             self._scanned = max(0, self._received.size - 3)
-            too_large = self._received.size >= MAX_HEAD_BYTES
+            too_large = self._received.size >= max_bytes
             return Fault(431, "head too large") if too_large else None
+        self._message_limits = self.limits
         fault = self._parse_head(data[:end] if data else self._received.copy(0, end))
         if fault is None:
             self._received.discard(end + 4)
@@ -294,7 +315,7 @@
         if length is not None and not (length.isascii() and length.isdigit()):
             return Fault(400, "garbled length")
         if length is not None and (
-            len(length) > MAX_LENGTH_DIGITS or int(length) > self._max_body_bytes
+            len(length) > MAX_LENGTH_DIGITS or int(length) > self._message_limits.body_bytes
         ):
             return Fault(413, "body too large")
         if self._responses and (status < 200 or status in (204, 304) or self.bodiless):
@@ -315,7 +336,7 @@
             if self._is_streamed and self._received.size:
                 found.append(BodyPart(self._received.copy(0, self._received.size)))
                 self._consume(self._received.size)
-            too_large = self._received.size > self._max_body_bytes
+            too_large = self._received.size > self._message_limits.body_bytes
             return Fault(413, "body too large") if too_large else None
         if not self._content_length:
             return b""
@@ -350,7 +371,7 @@
             if size is None:
                 return Fault(400, "garbled chunk")
             start, end = end + 2, end + 2 + int(size[1], 16)
-            if self._chunked_bytes + end - start > self._max_body_bytes:
+            if self._chunked_bytes + end - start > self._message_limits.body_bytes:
                 return Fault(413, "body too large")
             if start == end:  # the last chunk
                 self._in_trailers, self._scanned = True, start
