--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -12,6 +12,7 @@
 
 import httpcore
 
+from benchmarks.soak.operators import HOST
 from benchmarks.soak.records import Ending, Records, RequestRecord
 from umbermoor.http1.buffers import Buffers
 from umbermoor.http1.reader import Reader, Response
@@ -76,6 +77,11 @@
         self._misses[name] = 0 if ready else self._misses[name] + 1
 
 
+def request_headers(record: RequestRecord) -> dict[str, str]:
+    """Return the headers of a client's request."""
+    return {"X-Attempt-Id": record.id, "X-Time-Remaining": f"{DEADLINE_S * 1000:.0f}"}
+
+
 def _is_ready(address: str) -> bool:
     timeouts = dict.fromkeys(("connect", "read", "write", "pool"), READY_INTERVAL_S)
     try:
@@ -154,9 +160,12 @@
             id, self._idempotent[prefix], proxy, time.monotonic(), len(connection.waiting)
         )
         self._records.requests.append(record)
-        headers = {"X-Attempt-Id": id, "X-Time-Remaining": f"{DEADLINE_S * 1000:.0f}"}
+        connection.send(record, self._request(record, f"{prefix}{id}"))
+
+    def _request(self, record: RequestRecord, target: str) -> bytes:
+        """Return the bytes of a request."""
         method = "GET" if record.idempotent else "POST"
-        connection.send(record, write_request(method, f"{prefix}{id}", "soak.example", headers))
+        return write_request(method, target, HOST, request_headers(record))
 
 
 class _Connection:
--- a/benchmarks/soak/instance_checks.py
+++ b/benchmarks/soak/instance_checks.py
@@ -33,7 +33,7 @@
     answers = sorted(records.rollout_answers, key=lambda answer: answer.began_at)
     found = []
     for order in records.rollouts:
-        if order.failure_share:
+        if order.is_bad:
             found += _exposure_violations(records, order, answers)
             found += _rollback_violations(records, order, answers)
     return found
@@ -52,7 +52,7 @@
     if exposed <= allowed:
         return []
     return [
-        f"a version that fails {order.failure_share:g} of its requests got {exposed} of "
+        f"a version that is worse ({order.description}) got {exposed} of "
         f"{len(during)}; allowed {allowed:.0f}"
     ]
 
@@ -67,7 +67,7 @@
         if not are_controllers_settled(records, answer.began_at):
             bad, clear_at = 0, None
             continue
-        bad += answer.failed
+        bad += answer.is_bad
         if bad == CLEAR_AFTER and clear_at is None:
             clear_at = answer.began_at
         if clear_at is None or not is_connected(records, answer.proxy, answer.began_at):
@@ -75,7 +75,7 @@
         late_s = answer.began_at - clear_at
         if late_s > ROLLBACK_S + stalled_s(records, clear_at, answer.began_at):
             return [
-                f"a version that fails {order.failure_share:g} of its requests got one "
+                f"a version that is worse ({order.description}) got one "
                 f"{late_s:.2f} s after its {CLEAR_AFTER}th bad answer"
             ]
     return []
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -31,6 +31,19 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True)
+class SizedRequest:
+    """A request that is within the wide envelope and above the narrow one.
+
+    Attributes:
+        record: The request.
+        refusal: The status that refuses it.
+    """
+
+    record: RequestRecord
+    refusal: int
+
+
 @dataclass
 class Execution:
     """Execution of a request by an instance."""
@@ -77,15 +90,25 @@
     began_at: float
     version: str
     proxy: str
-    failed: bool
+    is_bad: bool  # an error, or later than the setpoint
 
 
 @dataclass
 class RolloutOrder:
-    """An acknowledged order; the version fails `failure_share` of its requests."""
+    """An acknowledged order.
+
+    Attributes:
+        target: The new version.
+        description: What both versions do.
+        is_bad: Whether the new version is worse than the old one.
+        ordered_at: When it was ordered.
+        ramp_s: Its term, in seconds.
+        state: The last state read.
+    """
 
     target: str
-    failure_share: float
+    description: str
+    is_bad: bool
     ordered_at: float
     ramp_s: float
     state: str = "running"
@@ -97,7 +120,9 @@
 
     Attributes:
         requests: Requests sent by clients.
+        sized: The requests that some envelopes allow.
         executions: Executions by request id.
+        sent: (time, revision) of each valid configuration sent.
         acknowledged: (time of the acknowledgement, revision) of each acknowledged configuration.
         reads: (time sent, revision read) of each read of the configuration.
         probes: Probes of the routes in force at proxies.
@@ -114,6 +139,8 @@
     """
 
     requests: list[RequestRecord] = field(default_factory=list)
+    sized: list[SizedRequest] = field(default_factory=list)
+    sent: list[tuple[float, int]] = field(default_factory=list)
     executions: defaultdict[str, list[Execution]] = field(default_factory=lambda: defaultdict(list))
     acknowledged: list[tuple[float, int]] = field(default_factory=list)
     reads: list[tuple[float, int]] = field(default_factory=list)
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -15,6 +15,7 @@
 
 from benchmarks.soak import checks, faults, instance_checks
 from benchmarks.soak.clients import BEHAVIOURS, Client, Platform
+from benchmarks.soak.envelopes import KEPT, EnvelopeClient, envelope_violations
 from benchmarks.soak.instances import Departure, RecordedInstance
 from benchmarks.soak.operators import LONG_PREFIXES, PREFIXES, SERVICES, Operators
 from benchmarks.soak.processes import Size, SoakGateway
@@ -31,6 +32,7 @@
 
 WORK_S = {"quick": 0.03, "slow": 0.9, "long": 2.2, "orders": 0.1}
 CLIENTS = 18
+ENVELOPE_CLIENTS_PER_PROXY = 2
 CLIENTS_PER_PROXY = 3  # applies if it gives more than CLIENTS in total
 THREADS = 96  # for the blocking calls of operators, instances, the platform and probes
 RECOVERY_S = 12.0
@@ -118,6 +120,7 @@
         broken = checks.violations(self.records, ended_at)
         broken += instance_checks.departure_violations(self.records)
         broken += instance_checks.rollout_violations(self.records)
+        broken += envelope_violations(self.records)
         broken += counted + checks.logged_faults(self.gateway.folder)
         return self._result(broken)
 
@@ -179,6 +182,17 @@
             )
             for number in range(max(CLIENTS, CLIENTS_PER_PROXY * gateway.size.proxies))
         ]
+        clients += [
+            EnvelopeClient(
+                platform,
+                proxies,
+                random.Random(f"{self.seed} envelope client {number}"),
+                self.records,
+                PREFIXES,
+                KEPT,
+            )
+            for number in range(ENVELOPE_CLIENTS_PER_PROXY * gateway.size.proxies)
+        ]
         prober = RouteProber(proxies, self.records, random.Random(f"{self.seed} probes"))
         runs = [
             platform.watch(),
