--- a/tests/gateway/limits_in_force_test.py
+++ b/tests/gateway/limits_in_force_test.py
@@ -198,6 +198,17 @@
     assert len(logged) == 3  # the default of bodyBytes is above the bound too
 
 
+def test_a_bound_below_the_default_limits_is_logged_with_the_first_configuration(monkeypatch):
+    """Guards against a silent bound under the most usual configuration, that of the defaults."""
+    logged = []
+    monkeypatch.setattr(client_connections, "event", lambda name, **keys: logged.append(keys))
+    started = System()
+    started.end()
+    assert logged == [
+        {"key": "bodyBytes", "configured": 64 << 20, "in_force": MAX_BODY_BYTES},
+    ]
+
+
 # Times
 
 
--- a/umbermoor/gateway/server/client_connections.py
+++ b/umbermoor/gateway/server/client_connections.py
@@ -57,7 +57,7 @@
         self.idle_timeout_s = 15.0
         self.header_timeout_s = 3.0
         self.message_limits = _message_limits(ClientLimits())
-        self._configured = ClientLimits()
+        self._configured: ClientLimits | None = None
 
     def accept(self) -> ClientConnection:
         """Return the protocol for a new connection."""
