--- a/benchmarks/soak/rollouts.py
+++ b/benchmarks/soak/rollouts.py
@@ -48,7 +48,12 @@
 
     def is_worse_than(self, other: "_Behaviour") -> bool:
         """Whether more of the answers are bad than those of another version."""
-        return (self.late, self.failure_share) > (other.late, other.failure_share)
+        return self.bad_share > other.bad_share
+
+    @property
+    def bad_share(self) -> float:
+        """The share of the answers that are errors or late."""
+        return 1.0 if self.late else self.failure_share
 
     def __str__(self) -> str:
         return f"fails {self.failure_share:g}{', late' if self.late else ''}"
--- a/umbermoor/gateway/rollout/reports.py
+++ b/umbermoor/gateway/rollout/reports.py
@@ -43,6 +43,12 @@
     return [total, *parts]
 
 
+def _continue(later: Sequence[int], earlier: Sequence[int]) -> bool:
+    """Whether counts, of which the first includes all others, can be a later state of others."""
+    whole, *parts = [new - old for new, old in zip(later, earlier)]
+    return min(parts) >= 0 and sum(parts) <= whole
+
+
 def _table(key: str, value: Any) -> Mapping[str, Any]:
     if not isinstance(value, Mapping):
         raise InvalidReportError(key, "must be a table")
@@ -108,8 +114,7 @@
 
     def continues(self, earlier: "OutcomeCounts") -> bool:
         """Whether these can be a later state of other counts."""
-        good, failed = self.good - earlier.good, self.failed - earlier.failed
-        return good >= 0 and failed >= 0 and good + failed <= self.total - earlier.total
+        return _continue(self.to_json(), earlier.to_json())
 
     @classmethod
     def read(cls, key: str, values: Any) -> "OutcomeCounts":
@@ -157,8 +162,7 @@
 
     def continues(self, earlier: "ResponseCounts") -> bool:
         """Whether these can be a later state of other counts."""
-        new = self.since(earlier)
-        return new.errors >= 0 and new.late >= 0 and new.bad <= new.total
+        return _continue(self.to_json(), earlier.to_json())
 
     @classmethod
     def read(cls, key: str, values: Any) -> "ResponseCounts":
@@ -281,11 +285,8 @@
             and self.baseline.continues(earlier.baseline)
             and self.responses.continues(earlier.responses)
             and all(
-                0 <= bad - bad_before <= outcomes - outcomes_before
-                for outcomes, bad, outcomes_before, bad_before in (
-                    (*counts, *earlier.by_instance.get(name, (0, 0)))
-                    for name, counts in self.by_instance.items()
-                )
+                _continue(counts, earlier.by_instance.get(name, (0, 0)))
+                for name, counts in self.by_instance.items()
             )
         )
 
